Add the client, the demo and the bench, and let a new limit ramp up

Cause: the path had no operators, no demo and no measure.

Ruled out: a limit that starts at the reported slots (an upstream that lies would set its own limit); a longer window alone, which reacts too late to a flood.

Change: the limit doubles each busy window until latency first rises, and nothing is shed by cutoff until then; arrivals and completions are smoothed; a queue counts as standing only when not one call got through quickly. Calls to the upstream go through the dispatcher without an abort signal for each timer. A connection that proves silent is replaced before the call is refused. The client, a load generator with open loop, a fleet of processes, the demo and the steady scenario are new.

--- /dev/null
+++ b/packages/client/src/commands/node-command.ts
@@ -0,0 +1,79 @@
+import type {Fault} from '@medlarsaddle/core';
+import {Command, Option} from 'clipanion';
+import Table from 'cli-table3';
+import type {Result} from 'neverthrow';
+import {exitCodeOf} from '../exit-code-of.js';
+import {exitCodes} from '../exit-codes.js';
+import {Operators} from '../operators.js';
+
+const defaultNode = '127.0.0.1:8082';
+
+/**
+ * What every command has in common: the node that it asks, and how it prints.
+ *
+ * @example
+ * class Status extends NodeCommand {}
+ */
+export abstract class NodeCommand extends Command {
+	node = Option.String('--node', defaultNode, {
+		env: 'MEDLARSADDLE_NODE',
+		description: "Address of a node's operator port, IP:PORT",
+	});
+
+	json = Option.Boolean('--json', false, {description: 'Print JSON'});
+
+	/** Asks the node and prints what it replies; resolves with the exit code. */
+	protected async ask<Reply>(
+		query: (operators: Operators) => Promise<Result<Reply, Fault>>,
+		print: (reply: Reply) => void,
+	): Promise<number> {
+		const operators = Operators.connect(this.node);
+		try {
+			const reply = await query(operators);
+			if (reply.isErr()) {
+				return this.fail(reply.error);
+			}
+
+			if (this.json) {
+				this.printJson(reply.value);
+			} else {
+				print(reply.value);
+			}
+
+			return exitCodes.ok;
+		} finally {
+			operators.close();
+		}
+	}
+
+	/** Prints a fault; returns its exit code. */
+	protected fail(fault: Fault): number {
+		if (this.json) {
+			this.printJson({error: fault.kind, what: fault.what, remedy: fault.remedy});
+		} else {
+			this.context.stderr.write(`${fault.message}\n`);
+		}
+
+		return exitCodeOf(fault.kind);
+	}
+
+	/** Prints one line. */
+	protected print(line: string): void {
+		this.context.stdout.write(`${line}\n`);
+	}
+
+	/** Prints a value as JSON. */
+	protected printJson(value: unknown): void {
+		this.print(JSON.stringify(value, undefined, '\t'));
+	}
+
+	/** Prints rows under a heading. */
+	protected printTable(head: readonly string[], rows: ReadonlyArray<readonly string[]>): void {
+		const table = new Table({
+			head: [...head],
+			style: {head: [], border: [], compact: true},
+		});
+		table.push(...rows.map(row => [...row]));
+		this.print(table.toString());
+	}
+}
--- /dev/null
+++ b/packages/client/src/exit-code-of.ts
@@ -0,0 +1,20 @@
+import {type FaultKind, faultKinds} from '@medlarsaddle/core';
+import {exitCodes} from './exit-codes.js';
+
+const codes: Partial<Record<FaultKind, number>> = {
+	[faultKinds.badInput]: exitCodes.rejected,
+	[faultKinds.badPolicy]: exitCodes.rejected,
+	[faultKinds.notFound]: exitCodes.rejected,
+	[faultKinds.tooLarge]: exitCodes.rejected,
+	[faultKinds.conflict]: exitCodes.conflict,
+	[faultKinds.storeDown]: exitCodes.unavailable,
+	[faultKinds.unreachable]: exitCodes.unavailable,
+};
+
+/**
+ * Exit code for a fault.
+ *
+ * @example
+ * return exitCodeOf(fault.kind);
+ */
+export const exitCodeOf = (kind: FaultKind): number => codes[kind] ?? exitCodes.failed;
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,2 @@
+export {exitCodes} from './exit-codes.js';
+export {Operators} from './operators.js';
--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -52,7 +52,8 @@
 	private readonly queue: RankQueue;
 	private arrivals: number[] = [];
 	private completions = 0;
-	private pressed = false;
+	private overflowed = false;
+	private leastWaitMs = Number.POSITIVE_INFINITY;
 	private running = 0;
 	private peak = 0;
 	private refusedCount = 0;
@@ -140,19 +141,24 @@
 	closeWindow(): void {
 		const nowMs = this.opts.clock.monotonic();
 		for (const waiter of this.queue.expired(nowMs)) {
-			this.pressed = true;
+			this.overflowed = true;
 			waiter.refuse();
 		}
 
+		// A queue stands when not one call of the window got through it quickly.
+		const isStanding =
+			this.leastWaitMs > queueTargetMs && this.leastWaitMs < Number.POSITIVE_INFINITY;
 		this.limit.closeWindow(this.peak);
 		this.control.close({
 			arrivals: this.arrivals,
 			completions: this.completions,
-			pressed: this.pressed,
+			// Until the limit is known, completions say nothing about the capacity.
+			pressed: (this.overflowed || isStanding) && !this.limit.isRamping,
 		});
 		this.arrivals = [];
 		this.completions = 0;
-		this.pressed = false;
+		this.overflowed = false;
+		this.leastWaitMs = Number.POSITIVE_INFINITY;
 		this.peak = this.running;
 		this.grantNext();
 	}
@@ -160,7 +166,7 @@
 	private async wait(call: Call, nowMs: number): Promise<Result<true, Fault>> {
 		const maxSize = Math.max(minQueueSize, this.limit.value * maxQueueShare);
 		if (this.queue.size >= maxSize) {
-			this.pressed = true;
+			this.overflowed = true;
 			const evicted = this.queue.evictBelow(call.rank);
 			if (!evicted) {
 				return this.refuse(overloaded);
@@ -203,12 +209,12 @@
 			}
 
 			if (waiter.expiresMs <= nowMs) {
-				this.pressed = true;
+				this.overflowed = true;
 				waiter.refuse();
 				continue;
 			}
 
-			this.pressed ||= nowMs - waiter.enqueuedMs > queueTargetMs;
+			this.leastWaitMs = Math.min(this.leastWaitMs, nowMs - waiter.enqueuedMs);
 			this.running++;
 			this.peak = Math.max(this.peak, this.running);
 			waiter.grant();
@@ -216,6 +222,7 @@
 	}
 
 	private begin(rank: number, nowMs: number): void {
+		this.leastWaitMs = 0;
 		this.running++;
 		this.peak = Math.max(this.peak, this.running);
 		this.queue.countServed(rank, nowMs);
--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -4,11 +4,12 @@
 	readonly maxLimit: number;
 };
 
-const coldStartShare = 0.25;
+const coldStartShare = 0.5;
 const minLimit = 1;
 const minFirstLimit = 4;
 const tolerance = 1.5;
-const smoothing = 0.25;
+const smoothing = 0.5;
+const startFactor = 2;
 const minGradient = 0.5;
 const baselineRisePerWindow = 1.002;
 const minSamples = 5;
@@ -17,8 +18,9 @@
 /**
  * Finds how many calls an upstream runs at once without queueing, from latency. Latency is compared
  * with the lowest window average of the same job, so that jobs of different length can share an
- * upstream. The limit grows by its square root while latency stays near that baseline, shrinks in
- * proportion when it rises, and stays between 1 and the connection limit.
+ * upstream. A new limit doubles each busy window until latency first rises. From then on it grows by
+ * its square root while latency stays near the baseline and shrinks in proportion when it rises. It
+ * stays between 1 and the connection limit.
  *
  * @example
  * limit.sample('PAY', 12);
@@ -32,6 +34,7 @@
 		return new ConcurrencyLimit(Math.min(first, most), most);
 	}
 
+	private isStarting = true;
 	private readonly baselines = new Map<string, number>();
 	private readonly window = new Map<string, {sumMs: number; count: number}>();
 
@@ -45,6 +48,11 @@
 		return Math.floor(this.limit);
 	}
 
+	/** Whether the limit has not met the capacity of the upstream yet. */
+	get isRamping(): boolean {
+		return this.isStarting;
+	}
+
 	/** The usual latency of a job at low load, in milliseconds; undefined when it is not known. */
 	baselineOf(job: string): number | undefined {
 		return this.baselines.get(job);
@@ -72,7 +80,10 @@
 			return;
 		}
 
-		const next = this.limit + (wanted - this.limit) * smoothing;
+		this.isStarting &&= gradient === 1 && this.limit < this.maxLimit;
+		const next = this.isStarting
+			? this.limit * startFactor
+			: this.limit + (wanted - this.limit) * smoothing;
 		this.limit = Math.min(this.maxLimit, Math.max(minLimit, next));
 	}
 
--- a/packages/control/src/cutoff-control.ts
+++ b/packages/control/src/cutoff-control.ts
@@ -9,13 +9,14 @@
 	readonly pressed: boolean;
 };
 
-const capacityGain = 0.3;
+/** Share of each window in the smoothed arrivals and completions. */
+const smoothing = 0.2;
 const raiseStep = 4;
 const minCutoff = 1;
 
 /**
- * Sets the cutoffs of one upstream, window by window. While pressed, the completions of a window
- * are the capacity, apportioned to the ranks; otherwise every cutoff rises by a fixed step, which
+ * Sets the cutoffs of one upstream, window by window. While pressed, the smoothed completions are
+ * the capacity, apportioned to the ranks; otherwise every cutoff rises by a fixed step, which
  * probes for capacity that has come back.
  *
  * @example
@@ -27,7 +28,8 @@
 		return new CutoffControl(floors, Cutoffs.open(floors.length));
 	}
 
-	private capacity = 0;
+	private completions = 0;
+	private demands: number[] = [];
 
 	private constructor(
 		private floors: readonly number[],
@@ -50,24 +52,24 @@
 
 	/** Ends a window and sets the cutoffs for the next. */
 	close({arrivals, completions, pressed}: Window): void {
+		this.completions += (completions - this.completions) * smoothing;
+		this.demands = this.floors.map((_floor, rank) => {
+			const known = this.demands[rank] ?? 0;
+			return known + ((arrivals[rank] ?? 0) - known) * smoothing;
+		});
 		if (!pressed) {
 			this.current = this.current.raised(raiseStep);
 			return;
 		}
 
-		this.capacity =
-			this.capacity === 0
-				? completions
-				: this.capacity + (completions - this.capacity) * capacityGain;
-		const demands = this.floors.map((_floor, rank) => arrivals[rank] ?? 0);
-		const grants = apportion(demands, this.capacity, this.floors);
+		const grants = apportion(this.demands, this.completions, this.floors);
+		const shares = this.demands.map((demand, rank) =>
+			demand === 0 ? 1 : Math.min(1, grants[rank]! / demand),
+		);
 		this.current = Cutoffs.of(
-			demands.map((demand, rank) => {
-				const cutoff = this.current.at(rank);
-				return demand === 0 || grants[rank]! >= demand
-					? cutoff
-					: Math.max(minCutoff, (cutoff * grants[rank]!) / demand);
-			}),
+			shares.map((share, rank) => Math.max(minCutoff, this.current.at(rank) * share)),
 		);
+		// Less will arrive from now on; without this the next window would cut for it again.
+		this.demands = this.demands.map((demand, rank) => demand * shares[rank]!);
 	}
 }
--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -12,4 +12,6 @@
 	monotonic(): number;
 	/** Resolves after `ms` milliseconds; rejects with the signal's reason when it aborts first. */
 	sleep(ms: number, signal?: AbortSignal): Promise<void>;
+	/** Calls `callback` after `ms` milliseconds, unless the function it returns is called first. */
+	after(ms: number, callback: () => void): () => void;
 }
--- a/packages/core/src/create-system-clock.ts
+++ b/packages/core/src/create-system-clock.ts
@@ -14,4 +14,10 @@
 	async sleep(ms, signal) {
 		await delay(ms, undefined, {signal});
 	},
+	after(ms, callback) {
+		const timer = setTimeout(callback, ms);
+		return () => {
+			clearTimeout(timer);
+		};
+	},
 });
--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -13,6 +13,14 @@
 		return new Fault(kind, what, remedy);
 	}
 
+	/** Creates a fault from a message that came over the wire, remedy included. */
+	static received(kind: FaultKind, message: string): Fault {
+		const end = message.lastIndexOf('. ');
+		return end === -1
+			? new Fault(kind, message.replace(/\.$/v, ''), '')
+			: new Fault(kind, message.slice(0, end), message.slice(end + 2).replace(/\.$/v, ''));
+	}
+
 	private constructor(
 		readonly kind: FaultKind,
 		readonly what: string,
@@ -21,6 +29,6 @@
 
 	/** The whole message, with the remedy last. */
 	get message(): string {
-		return `${this.what}. ${this.remedy}.`;
+		return this.remedy === '' ? `${this.what}.` : `${this.what}. ${this.remedy}.`;
 	}
 }
--- a/packages/core/src/manual-clock.ts
+++ b/packages/core/src/manual-clock.ts
@@ -42,6 +42,14 @@
 		});
 	}
 
+	after(ms: number, callback: () => void): () => void {
+		const sleeper = {dueMs: this.timeMs + ms, wake: callback};
+		this.sleepers.push(sleeper);
+		return () => {
+			this.sleepers = this.sleepers.filter(other => other !== sleeper);
+		};
+	}
+
 	/** Moves time forward by `ms`, waking each sleeper at its own due time. */
 	async advance(ms: number): Promise<void> {
 		const endMs = this.timeMs + ms;
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -238,7 +238,7 @@
 		const isDown = known && known.state !== memberStates.alive;
 		const rumors = isHome
 			? [...(isDown ? [{kind: rumorKinds.member, member: known} as const] : []), ...this.news()]
-			: this.contactsOffered();
+			: [...this.contactsOffered(), ...this.introduce(ping.dataCentre)];
 		if (isHome && !known) {
 			rumors.unshift(this.ownRumor());
 		}
@@ -256,6 +256,11 @@
 		return offered.map(member => ({kind: rumorKinds.contact, member}));
 	}
 
+	/** Members of a data centre that is not ours, for one of them that may not know the others yet. */
+	private introduce(dataCentre: string): Rumor[] {
+		return this.contacts.of(dataCentre).map(member => ({kind: rumorKinds.member, member}));
+	}
+
 	private learn(rumor: Rumor, sender: Member | undefined): boolean {
 		switch (rumor.kind) {
 			case rumorKinds.member: {
--- a/packages/node/src/calls/owner.ts
+++ b/packages/node/src/calls/owner.ts
@@ -30,9 +30,6 @@
 const askedHolders = 3;
 const maxCopiedBytes = 64 * 1024;
 
-/** A run under a key ends with its deadline, not when its caller goes away. */
-const neverAborts = new AbortController().signal;
-
 /**
  * Runs keyed requests at most once. Only the process that issued a key starts its request; all
  * others pass it on to that process, or look for its answer when the process is gone.
@@ -124,8 +121,10 @@
 
 	/** Whatever goes wrong here, the key ends as unknown and is not started again. */
 	private async carryOut(carrier: Carrier, request: CallRequest): Promise<CallOutcome> {
+		// It ends with its deadline, not when its caller goes away.
+		const {signal} = new AbortController();
 		try {
-			return await carrier.carry(request, Allowance.of(request.allowance), neverAborts);
+			return await carrier.carry(request, Allowance.of(request.allowance), signal);
 		} catch {
 			return refusalOf(outcomeLost, runStates.unknown, 0);
 		}
--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {once} from 'node:events';
+import {setImmediate} from 'node:timers/promises';
 import {type Clock, type Log, Fault, errorText, events, faultKinds} from '@medlarsaddle/core';
 import type {Member} from '@medlarsaddle/members';
 import type {Task} from '@medlarsaddle/supervise';
@@ -25,7 +26,7 @@
 
 const connectMs = 500;
 const askMs = 1000;
-const probeMs = 200;
+const probeMs = 400;
 const provenForMs = 150;
 const watchPeriodMs = 200;
 const quietMs = 400;
@@ -94,16 +95,19 @@
 		}
 	};
 
-	/** Sends a call and waits for its outcome, its deadline or the end of the connection. */
+	/**
+	 * Sends a call and waits for its outcome, its deadline or the end of the connection. Undefined when
+	 * the call was not sent because the connection is closed or proved silent.
+	 */
 	async call(
 		mode: MessageOf<'call'>['mode'],
 		request: CallRequest,
 		signal: AbortSignal,
-	): Promise<CallOutcome> {
+	): Promise<CallOutcome | undefined> {
 		const startMs = this.opts.clock.monotonic();
 		if (!request.idempotent && !(await this.isProven())) {
 			this.link?.close();
-			return refusalOf(unreachable, runStates.notRun, request.allowance);
+			return undefined;
 		}
 
 		const id = this.nextId++;
@@ -111,7 +115,7 @@
 		const reply = this.awaitReply(id, remainingMs + deadlineGraceMs, signal);
 		if (!this.send({type: messageTypes.call, id, mode, request: {...request, remainingMs}})) {
 			this.waiting.get(id)?.(undefined);
-			return refusalOf(unreachable, runStates.notRun, request.allowance);
+			return undefined;
 		}
 
 		const message = await reply;
@@ -147,7 +151,14 @@
 			return false;
 		}
 
-		return this.opts.clock.monotonic() - link.heardMs < provenForMs || this.probe();
+		const startMs = this.opts.clock.monotonic();
+		if (startMs - link.heardMs < provenForMs || (await this.probe())) {
+			return true;
+		}
+
+		// After a stall of this process the reply may stand in the socket, still unread.
+		await setImmediate();
+		return link.heardMs > startMs;
 	}
 
 	private async probe(): Promise<boolean> {
@@ -160,7 +171,7 @@
 	private async awaitReply(id: number, timeoutMs: number, signal?: AbortSignal): Promise<Reply> {
 		return new Promise(resolve => {
 			const settle = (reply: Reply) => {
-				clearTimeout(timer);
+				stopTimer();
 				signal?.removeEventListener('abort', onAbort);
 				this.waiting.delete(id);
 				resolve(reply);
@@ -170,7 +181,7 @@
 				settle(undefined);
 			};
 
-			const timer = setTimeout(onAbort, Math.max(0, timeoutMs));
+			const stopTimer = this.opts.clock.after(Math.max(0, timeoutMs), onAbort);
 			signal?.addEventListener('abort', onAbort, {once: true});
 			this.waiting.set(id, settle);
 		});
@@ -204,11 +215,6 @@
 	}
 }
 
-const unreachable = Fault.of(
-	faultKinds.unreachable,
-	'The node beside the upstream cannot be reached',
-	'Send the call again; it will go to another host',
-);
 const lost = Fault.of(
 	faultKinds.unreachable,
 	'The connection ended before the answer came',
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -20,6 +20,8 @@
 	readonly self: () => Member;
 };
 
+const maxConnects = 2;
+
 /**
  * Connections to other nodes, opened as they are needed, one for each node.
  *
@@ -48,10 +50,16 @@
 		request: CallRequest,
 		signal: AbortSignal,
 	): Promise<CallOutcome> {
-		const peer = await this.connect(member);
-		return peer
-			? peer.call(mode, request, signal)
-			: refusalOf(unreachable, runStates.notRun, request.allowance);
+		// A connection that proved silent is closed; a new one may work at once.
+		for (let attempt = 0; attempt < maxConnects; attempt++) {
+			const peer = await this.connect(member);
+			const outcome = await peer?.call(mode, request, signal);
+			if (outcome) {
+				return outcome;
+			}
+		}
+
+		return refusalOf(unreachable, runStates.notRun, request.allowance);
 	}
 
 	/** Asks a node something; undefined when no reply came. */
--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -2,6 +2,8 @@
 import {type Result, err, ok} from 'neverthrow';
 import {Client, type Dispatcher} from 'undici';
 import type {Answer} from '@medlarsaddle/wire';
+import {AnswerReader} from './answer-reader.js';
+import {AnswerTooLarge} from './answer-too-large.js';
 
 type Opts = {
 	readonly origin: string;
@@ -67,21 +69,23 @@
 
 	/** Sends a call and reads the whole answer. An answer cut short is a failure. */
 	async send({method, path, headers, body, signal}: Send): Promise<Result<Answer, Failure>> {
-		try {
-			const reply = await this.client.request({
+		return new Promise(resolve => {
+			const reader = new AnswerReader(this.opts.maxBodyBytes, signal, result => {
+				if (result.isOk()) {
+					this.provenMs = this.opts.clock.monotonic();
+					resolve(ok(result.value));
+				} else {
+					resolve(err(this.failureOf(result.error, signal)));
+				}
+			});
+			const options = {
 				method,
 				path,
 				headers: headers as string[],
 				body: body.length > 0 ? body : undefined,
-				signal,
-				responseHeaders: 'raw',
-			});
-			const answer = await this.readBody(reply);
-			this.provenMs = this.opts.clock.monotonic();
-			return answer;
-		} catch (error) {
-			return err(this.failureOf(error, signal));
-		}
+			};
+			this.client.dispatch(options, reader);
+		});
 	}
 
 	/** Closes the connection at once. */
@@ -89,31 +93,13 @@
 		void this.client.destroy().catch(() => {});
 	}
 
-	private async readBody(reply: Dispatcher.ResponseData): Promise<Result<Answer, Failure>> {
-		const chunks: Buffer[] = [];
-		let bytes = 0;
-		for await (const chunk of reply.body as AsyncIterable<Buffer>) {
-			bytes += chunk.length;
-			if (bytes > this.opts.maxBodyBytes) {
-				this.destroy();
-				return err({fault: answerTooLarge, mayHaveRun: true, wasClosed: false});
-			}
-
-			chunks.push(chunk);
+	private failureOf(error: unknown, signal: AbortSignal): Failure {
+		this.destroy();
+		if (error instanceof AnswerTooLarge) {
+			return {fault: answerTooLarge, mayHaveRun: true, wasClosed: false};
 		}
 
-		const headers = (reply.headers as unknown as Array<string | Buffer>).map(String);
-		return ok({
-			kind: 'answer',
-			status: reply.statusCode,
-			headers,
-			body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
-		});
-	}
-
-	private failureOf(error: unknown, signal: AbortSignal): Failure {
 		const code = (error as {code?: string}).code ?? '';
-		this.destroy();
 		if (signal.aborted) {
 			return {fault: gaveUp, mayHaveRun: true, wasClosed: false};
 		}
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -40,6 +40,9 @@
 };
 
 const leaseMs = 15_000;
+
+/** An upstream that renewed its announcement this lately needs no probe. */
+const renewalMs = 3000;
 const unhealthyProbes = 3;
 const slowFactor = 8;
 
@@ -165,7 +168,8 @@
 	/** Probes the upstream; withdraws it when it neither renews nor answers. */
 	async probe(): Promise<void> {
 		const {serving} = this;
-		if (!serving) {
+		const silentMs = this.opts.clock.monotonic() - this.renewedMs;
+		if (!serving || silentMs < renewalMs) {
 			return;
 		}
 
@@ -326,26 +330,22 @@
 				? Math.min(request.remainingMs, Math.max(minAbandonMs, usualMs * slowFactor))
 				: request.remainingMs;
 		const abort = new AbortController();
-		const onAbort = () => {
-			abort.abort(signal.reason);
+		const giveUp = () => {
+			abort.abort();
 		};
 
-		signal.addEventListener('abort', onAbort, {once: true});
-		const timer = new AbortController();
-		this.opts.clock.sleep(Math.max(1, patienceMs), timer.signal).then(
-			() => {
-				// Waiting for a service downstream is no sign of silence.
-				if (patienceMs >= request.remainingMs || call.ownMs >= patienceMs) {
-					abort.abort(new Error('The connection made no progress'));
-				}
-			},
-			() => {},
-		);
+		const stopTimer = this.opts.clock.after(Math.max(1, patienceMs), () => {
+			// Waiting for a service downstream is no sign of silence.
+			if (patienceMs >= request.remainingMs || call.ownMs >= patienceMs) {
+				giveUp();
+			}
+		});
+		signal.addEventListener('abort', giveUp, {once: true});
 		return {
 			signal: abort.signal,
 			stop() {
-				timer.abort();
-				signal.removeEventListener('abort', onAbort);
+				stopTimer();
+				signal.removeEventListener('abort', giveUp);
 			},
 		};
 	}
--- a/packages/platform/test/write-change.test.ts
+++ b/packages/platform/test/write-change.test.ts
@@ -54,7 +54,7 @@
 	store,
 	random: createRandom(seed),
 	heldVersion: () => held,
-	clock: {now: () => 1, monotonic: () => 1, async sleep() {}},
+	clock: {now: () => 1, monotonic: () => 1, async sleep() {}, after: () => () => {}},
 });
 
 const change = (changeId: string, expectedVersion = 0) => ({
--- /dev/null
+++ b/packages/testbed/src/bench/steady.ts
@@ -0,0 +1,79 @@
+import {createSystemClock} from '@medlarsaddle/core';
+import type {Deployment} from '../deploy/deployment.js';
+import {experiment} from './experiment.js';
+import type {Scenario} from './scenario.js';
+import {summarize} from './summarize.js';
+import {directLatency} from './direct-latency.js';
+
+const durationMs = 8000;
+const warmMs = 2000;
+const steadyLoad = 0.5;
+
+/** Half of the capacity for some seconds: what the system costs when nothing is wrong. */
+export const steady: Scenario = {
+	name: 'steady',
+	about: 'half of the capacity, no faults',
+	async run({deployment, seed, scale, hasBaseline}) {
+		const measure = async (admission: 'on' | 'off') => {
+			const outcome = await experiment({
+				deployment,
+				seed,
+				scale,
+				admission,
+				durationMs,
+				loadAt: () => steadyLoad,
+			});
+			return {outcome, figures: figuresOf(outcome, deployment)};
+		};
+
+		const {outcome, figures} = await measure('on');
+		const direct = await directLatency(createSystemClock());
+		const urgent = summarize(
+			outcome.shots.filter(({rank}) => rank === 'critical'),
+			warmMs,
+			durationMs,
+		);
+		return {
+			figures: {
+				...figures,
+				direct: direct.direct,
+				throughNodes: direct.throughNodes,
+				added: direct.added,
+			},
+			bounds: {
+				'urgent goodShare >= 0.999': urgent.goodShare >= 0.999,
+				'control <= 6144 B/s a node': outcome.controlBytesPerSecond <= 6144,
+				'doubles = 0': outcome.doubles === 0,
+				'falseNotRun = 0': outcome.falseNotRun === 0,
+				'wrong = 0': outcome.wrong === 0,
+				'added p99 <= 0.4 ms': direct.added.p99Ms <= 0.4,
+			},
+			baselineFigures: hasBaseline ? (await measure('off')).figures : undefined,
+		};
+	},
+};
+
+const figuresOf = (outcome: Awaited<ReturnType<typeof experiment>>, deployment: Deployment) => {
+	const ranks = [...new Set(deployment.jobs.map(({rank}) => rank))];
+	return {
+		capacityPerSecond: Math.round(outcome.capacity),
+		...Object.fromEntries(
+			ranks.map(rank => [
+				rank,
+				summarize(
+					outcome.shots.filter(shot => shot.rank === rank),
+					warmMs,
+					durationMs,
+				),
+			]),
+		),
+		nodeCpuShare: Number(outcome.nodeCpuShare.toFixed(4)),
+		nodeRssMb: Number(outcome.nodeRssMb.toFixed(1)),
+		controlBytesPerSecond: Math.round(outcome.controlBytesPerSecond),
+		lagP99Ms: Number(outcome.lagP99Ms.toFixed(2)),
+		doubles: outcome.doubles,
+		falseNotRun: outcome.falseNotRun,
+		wrong: outcome.wrong,
+		platformCalls: outcome.platformCalls,
+	};
+};
--- /dev/null
+++ b/packages/testbed/src/deploy/base-policy.ts
@@ -0,0 +1,12 @@
+/** Ranks and defaults that both deployments use. */
+export const basePolicy = `kind: base
+ranks:
+  - name: critical
+  - name: normal
+    floorShare: 0.05
+  - name: background
+    floorShare: 0.05
+defaults:
+  rank: background
+  deadlineMs: 1500
+`;
--- a/packages/testbed/src/upstream/upstream.ts
+++ b/packages/testbed/src/upstream/upstream.ts
@@ -69,6 +69,11 @@
 		this.random = createRandom(opts.seed);
 	}
 
+	/** Base URL of the upstream itself. */
+	get url(): string {
+		return `http://127.0.0.1:${this.port}`;
+	}
+
 	/** Whether it was stopped for good. */
 	get isStopped(): boolean {
 		return this.stopping.signal.aborted;
@@ -216,12 +221,7 @@
 
 			this.runs.set(job.id, (this.runs.get(job.id) ?? 0) + 1);
 			this.opts.onRun?.(job.id, false);
-			const gone = new AbortController();
-			res.once('close', () => {
-				gone.abort();
-			});
-			await delay(this.timeOf(job), undefined, {signal: gone.signal}).catch(() => {});
-			if (gone.signal.aborted) {
+			if (!(await this.spend(this.timeOf(job), res))) {
 				this.wasted++;
 				return;
 			}
@@ -240,6 +240,23 @@
 		}
 	}
 
+	/** Works for a time; false when the caller goes away meanwhile. */
+	private async spend(ms: number, res: ServerResponse): Promise<boolean> {
+		if (ms === 0) {
+			return true;
+		}
+
+		const gone = new AbortController();
+		const stop = () => {
+			gone.abort();
+		};
+
+		res.once('close', stop);
+		await delay(ms, undefined, {signal: gone.signal}).catch(() => {});
+		res.off('close', stop);
+		return !gone.signal.aborted;
+	}
+
 	private timeOf(job: Work): number {
 		const cold = this.opts.coldRequests ?? 0;
 		const coldness = cold === 0 ? 0 : Math.max(0, 1 - this.served++ / cold);
--- a/xo.config.js
+++ b/xo.config.js
@@ -18,6 +18,7 @@
 			'local/one-export': 'error',
 			// Tasks await one step after another, and race a timer against what they wait for.
 			'no-await-in-loop': 'off',
+			'unicorn/no-await-expression-member': 'off',
 			'promise/prefer-await-to-then': 'off',
 			'promise/prefer-catch': 'off',
 			// Factories stand in front of private constructors; a callback may have nothing to do.
@@ -58,10 +59,19 @@
 				'error',
 				{allowForKnownSafeCalls: [{from: 'package', name: 'test', package: 'node:test'}]},
 			],
-			'unicorn/no-await-expression-member': 'off',
 			'@typescript-eslint/no-empty-function': 'off',
 		},
 	},
+	{
+		// The library's own factory has a capital.
+		files: ['packages/client/src/commands/*.ts'],
+		rules: {
+			'new-cap': [
+				'error',
+				{capIsNewExceptions: ['Command.Usage'], capIsNewExceptionPattern: String.raw`^Option\.`},
+			],
+		},
+	},
 	{
 		// Programs end their process.
 		files: ['packages/*/src/bin/*.ts'],
