Divide the large files, and pass a joining node's table on no further

A node that had fetched the member table passed every record in it on as news, and each rumor went out 3 log2 n times.

Ruled out: smaller datagrams, which only delay the same bytes.

Change: members that were fetched are not passed on; a rumor goes out 3 times the decimal logarithm, since digests find what is missed; a section is pushed twice more within 0.4 s. The manual clock no longer leaves a listener behind for each sleep.

--- a/packages/control/src/key-ledger.ts
+++ b/packages/control/src/key-ledger.ts
@@ -1,8 +1,11 @@
-import {type Clock, Fault, faultKinds} from '@medlarsaddle/core';
+import type {Clock, Fault} from '@medlarsaddle/core';
 import {type Result, err, ok} from 'neverthrow';
+import type {Estate} from './estate.js';
 import {IssuedKey} from './issued-key.js';
 import {issuerName} from './issuer-name.js';
+import type {KeyRecord} from './key-record.js';
 import {keyStates} from './key-states.js';
+import {ledgerFaults} from './ledger-faults.js';
 
 type Opts = {
 	readonly clock: Clock;
@@ -24,21 +27,6 @@
 	answer?: Answer;
 };
 
-/** What makes a process the issuer of its keys. */
-type Estate = {
-	readonly node: string;
-	readonly incarnation: number;
-	readonly secret: string;
-};
-
-/** One key as it is handed over; without an answer its outcome is unknown. */
-type KeyRecord<Answer> = {
-	readonly key: string;
-	readonly fingerprint: string;
-	readonly atMs: number;
-	readonly answer?: Answer;
-};
-
 type Begin<Answer> =
 	| {readonly state: typeof keyStates.unused}
 	| {
@@ -78,6 +66,7 @@
 		string,
 		{readonly estate: Estate; readonly untilMs: number}
 	>();
+
 	private sequence = 0;
 	private isClosed = false;
 
@@ -182,14 +171,14 @@
 	 */
 	begin(key: IssuedKey, fingerprint: string): Result<Begin<Answer>, Fault> {
 		if (!this.isIssuer(key)) {
-			return err(notIssuer);
+			return err(ledgerFaults.notIssuer);
 		}
 
 		this.forgetOld();
 		const entry = this.entries.get(key.text);
 		if (entry) {
 			if (entry.fingerprint !== fingerprint) {
-				return err(otherRequest);
+				return err(ledgerFaults.otherRequest);
 			}
 
 			return ok(
@@ -205,7 +194,7 @@
 		}
 
 		if (this.entries.size >= this.opts.maxRecords) {
-			return err(full);
+			return err(ledgerFaults.full);
 		}
 
 		this.entries.set(key.text, this.newEntry(key.parts.issuedMs, fingerprint));
@@ -266,19 +255,3 @@
 		}
 	}
 }
-
-const notIssuer = Fault.of(
-	faultKinds.keyUnknown,
-	'The process that issued this key is gone, so it is not known whether its request ran',
-	'Look up whether the action took effect; if it did not, send it with a new key',
-);
-const otherRequest = Fault.of(
-	faultKinds.keyInvalid,
-	'This key was used for another request',
-	'Use one key for each action and the same body on each resend',
-);
-const full = Fault.of(
-	faultKinds.overloaded,
-	'This node remembers as many keys as it can',
-	'Send the request again later, or with a key from another node',
-);
--- a/packages/core/src/manual-clock.ts
+++ b/packages/core/src/manual-clock.ts
@@ -33,12 +33,16 @@
 	async sleep(ms: number, signal?: AbortSignal): Promise<void> {
 		signal?.throwIfAborted();
 		await new Promise<void>((resolve, reject) => {
-			const sleeper = {dueMs: this.timeMs + ms, wake: resolve};
-			this.sleepers.add(sleeper);
-			signal?.addEventListener('abort', () => {
-				this.sleepers.delete(sleeper);
-				reject(signal.reason as Error);
+			const cancel = this.after(ms, () => {
+				signal?.removeEventListener('abort', onAbort);
+				resolve();
 			});
+			const onAbort = () => {
+				cancel();
+				reject(signal?.reason as Error);
+			};
+
+			signal?.addEventListener('abort', onAbort, {once: true});
 		});
 	}
 
--- a/packages/members/src/gossip-timing.ts
+++ b/packages/members/src/gossip-timing.ts
@@ -7,4 +7,6 @@
 	leaseMs: 2500,
 	syncIntervalMs: 1000,
 	contactIntervalMs: 5000,
+	/** When news of a section is pushed again, counted from the first time. */
+	sectionPushesMs: [120, 360],
 } as const;
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -1,6 +1,6 @@
 import {type Clock, type Log, type Random, pick} from '@medlarsaddle/core';
-import {Acks} from './acks.js';
 import type {Address} from './address.js';
+import {addressOf} from './address-of.js';
 import type {Contacts} from './contacts.js';
 import type {Datagram} from './datagram.js';
 import {datagramTypes} from './datagram-types.js';
@@ -11,6 +11,8 @@
 import type {Member} from './member.js';
 import {memberStates} from './member-states.js';
 import type {MemberTable} from './member-table.js';
+import {Outbox} from './outbox.js';
+import {Prober} from './prober.js';
 import {Roles} from './roles.js';
 import type {Rumor} from './rumor.js';
 import {rumorKinds} from './rumor-kinds.js';
@@ -35,9 +37,7 @@
 	readonly onReplaced: () => void;
 };
 
-const rumorBytes = 1000;
 const fanOut = 3;
-const indirectProbes = 3;
 const gatewayCount = 2;
 
 /**
@@ -57,13 +57,11 @@
 
 	private readonly knowledge: Knowledge;
 	private readonly roles: Roles;
-	private readonly acks: Acks;
+	private readonly outbox: Outbox;
+	private readonly prober: Prober;
 	private readonly differences: Differences;
 	private readonly held = HeldCounts.create();
 	private readonly heardMs = new Map<string, number>();
-	private order: string[] = [];
-	private seq = 0;
-	private contactedMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly opts: Opts) {
 		this.knowledge = Knowledge.create({
@@ -73,7 +71,16 @@
 			},
 		});
 		this.roles = Roles.create(this.knowledge.table, opts.self.id);
-		this.acks = Acks.create(opts.clock);
+		this.outbox = Outbox.create({...opts, knowledge: this.knowledge});
+		this.prober = Prober.create({
+			...opts,
+			knowledge: this.knowledge,
+			outbox: this.outbox,
+			isGateway: () => this.isGateway,
+			push: () => {
+				this.push();
+			},
+		});
 		this.differences = Differences.create(opts.clock);
 	}
 
@@ -111,24 +118,29 @@
 	/** Changes this node's own record and tells the others at once. */
 	readonly update = (change: Partial<Pick<Member, 'inherits' | 'offers' | 'state'>>): void => {
 		this.knowledge.changeSelf(change);
-		this.spread(this.ownRumor());
+		this.spread(this.outbox.ownRumor());
 	};
 
-	/** Spreads a rumor: to a few members at once, then along with the probes. */
+	/** Spreads a rumor: to a few members at once, a section to a few more soon, then with the probes. */
 	readonly spread = (rumor: Rumor): void => {
 		this.knowledge.queue.add(rumor);
 		this.push();
+		if (rumor.kind === rumorKinds.section) {
+			for (const delayMs of gossipTiming.sectionPushesMs) {
+				this.opts.clock.after(delayMs, () => {
+					this.push();
+				});
+			}
+		}
 	};
 
 	/** Probes one member each period until the signal aborts. */
 	readonly probeLoop = async (signal: AbortSignal, ready: () => void): Promise<void> => {
 		ready();
-		this.greetSeeds();
+		this.prober.greetSeeds();
 		while (!signal.aborted) {
 			const startMs = this.opts.clock.monotonic();
-			await this.probeNext(signal);
-			await this.probeContacts();
-			this.expire();
+			await this.prober.round(signal);
 			const spentMs = this.opts.clock.monotonic() - startMs;
 			await this.opts.clock
 				.sleep(Math.max(0, gossipTiming.probePeriodMs - spentMs), signal)
@@ -148,16 +160,16 @@
 			}
 
 			case datagramTypes.ack: {
-				this.acks.settle(datagram.seq);
+				this.outbox.acks.settle(datagram.seq);
 				if (datagram.isStranger) {
-					this.opts.send(from, this.datagram(datagramTypes.news, [this.ownRumor()]));
+					this.outbox.send(from, datagramTypes.news, [this.outbox.ownRumor()]);
 				}
 
 				break;
 			}
 
 			case datagramTypes.pingRequest: {
-				void this.probeFor(datagram, from);
+				void this.prober.probeFor(datagram, from);
 				break;
 			}
 
@@ -177,10 +189,10 @@
 		}
 	};
 
-	/** Takes in members that were fetched from another node. */
+	/** Takes in members that were fetched from another node, and passes nothing on. */
 	readonly mergeMembers = (members: readonly Member[]): void => {
 		for (const member of members) {
-			this.knowledge.learnMember(member);
+			this.knowledge.merge(member);
 		}
 	};
 
@@ -193,7 +205,7 @@
 		}
 
 		const rumor = {kind: rumorKinds.section, name, version};
-		this.opts.send(addressOf(collector), this.datagram(datagramTypes.held, [rumor]));
+		this.outbox.send(addressOf(collector), datagramTypes.held, [rumor]);
 	};
 
 	/** The member that collects who has a section version in force. */
@@ -210,7 +222,7 @@
 	/** Takes up probing again after this process was paused, with a version that overrides suspicion. */
 	readonly rejoin = (): void => {
 		this.update({state: memberStates.alive});
-		this.greetSeeds();
+		this.prober.greetSeeds();
 	};
 
 	private collect({rumors, from}: Datagram): void {
@@ -221,41 +233,16 @@
 		}
 	}
 
-	private ownRumor(): Rumor {
-		return {kind: rumorKinds.member, member: this.self};
-	}
-
-	private greetSeeds(): void {
-		for (const seed of this.opts.seeds) {
-			this.opts.send(seed, this.datagram(datagramTypes.ping, [this.ownRumor()]));
-		}
-	}
-
-	private datagram(type: Datagram['type'], rumors: readonly Rumor[], seq = this.seq++): Datagram {
-		return {
-			type,
-			seq,
-			from: this.self.id,
-			dataCentre: this.self.dataCentre,
-			digests: [this.table.digest, this.opts.sectionsDigest()],
-			rumors,
-		};
-	}
-
-	private news(): Rumor[] {
-		return this.knowledge.queue.take(rumorBytes, this.table.alive.length);
-	}
-
 	/** Sends pending news to a few random members without waiting for the next probe. */
 	private push(): void {
 		const others = this.table.alive.filter(({id}) => id !== this.self.id);
 		for (const target of pick(others, fanOut, this.opts.random)) {
-			const rumors = this.news();
+			const rumors = this.outbox.news();
 			if (rumors.length === 0) {
 				return;
 			}
 
-			this.opts.send(addressOf(target), this.datagram(datagramTypes.news, rumors));
+			this.outbox.send(addressOf(target), datagramTypes.news, rumors);
 		}
 
 		if (this.isGateway) {
@@ -266,34 +253,30 @@
 	private pushAbroad(): void {
 		for (const dataCentre of this.contacts.dataCentres) {
 			const contact = this.contacts.of(dataCentre)[0];
-			const rumors = this.foreignNews();
+			const rumors = this.outbox.foreignNews();
 			if (contact && rumors.length > 0) {
-				this.opts.send(
-					addressOf(contact),
-					this.datagram(datagramTypes.news, [this.ownRumor(), ...rumors]),
-				);
+				const own = this.outbox.ownRumor();
+				this.outbox.send(addressOf(contact), datagramTypes.news, [own, ...rumors]);
 			}
 		}
 	}
 
-	/** News for other data centres; members are known at home only. */
-	private foreignNews(): Rumor[] {
-		return this.news().filter(({kind}) => kind !== rumorKinds.member);
-	}
-
 	private answer(ping: Datagram, from: Address): void {
 		const isHome = ping.dataCentre === this.self.dataCentre;
 		const known = isHome ? this.table.get(ping.from) : undefined;
 		const isDown = known && known.state !== memberStates.alive;
 		const rumors = isHome
-			? [...(isDown ? [{kind: rumorKinds.member, member: known} as const] : []), ...this.news()]
+			? [
+					...(isDown ? [{kind: rumorKinds.member, member: known} as const] : []),
+					...this.outbox.news(),
+				]
 			: [...this.contactsOffered(), ...this.introduce(ping.dataCentre)];
 		if (isHome && !known) {
-			rumors.unshift(this.ownRumor());
+			rumors.unshift(this.outbox.ownRumor());
 		}
 
-		this.opts.send(from, {
-			...this.datagram(datagramTypes.ack, rumors, ping.seq),
+		this.outbox.send(from, datagramTypes.ack, rumors, {
+			seq: ping.seq,
 			isStranger: isHome && !known,
 		});
 	}
@@ -339,101 +322,4 @@
 			this.opts.onDiffers(sender);
 		}
 	}
-
-	private nextTarget(): Member | undefined {
-		while (this.order.length > 0) {
-			const member = this.table.get(this.order.pop()!);
-			if (member && this.table.alive.includes(member)) {
-				return member;
-			}
-		}
-
-		const others = this.table.alive.filter(({id}) => id !== this.self.id).map(({id}) => id);
-		this.order = pick(others, others.length, this.opts.random);
-		const next = this.order.pop();
-		return next === undefined ? undefined : this.table.get(next);
-	}
-
-	private async probeNext(signal: AbortSignal): Promise<void> {
-		const target = this.nextTarget();
-		if (!target) {
-			this.greetSeeds();
-			return;
-		}
-
-		if (await this.ping(addressOf(target), this.news())) {
-			return;
-		}
-
-		const helpers = this.table.alive.filter(({id}) => id !== this.self.id && id !== target.id);
-		const seq = this.seq++;
-		const acked = this.acks.within(seq, gossipTiming.ackTimeoutMs);
-		for (const helper of pick(helpers, indirectProbes, this.opts.random)) {
-			const request = this.datagram(datagramTypes.pingRequest, [], seq);
-			this.opts.send(addressOf(helper), {...request, target: target.id});
-		}
-
-		const isUp = await acked;
-		const current = this.table.get(target.id);
-		if (!isUp && !signal.aborted && current?.state === memberStates.alive) {
-			this.knowledge.learnMember({...current, state: memberStates.suspect});
-			this.push();
-		}
-	}
-
-	/** Probes a member for one that could not reach it, and passes the answer on. */
-	private async probeFor(request: Datagram, from: Address): Promise<void> {
-		const target = this.table.get(request.target ?? '');
-		if (target && (await this.ping(addressOf(target), []))) {
-			this.opts.send(from, this.datagram(datagramTypes.ack, [], request.seq));
-		}
-	}
-
-	private async ping(to: Address, rumors: readonly Rumor[]): Promise<boolean> {
-		const seq = this.seq++;
-		const acked = this.acks.within(seq, gossipTiming.ackTimeoutMs);
-		this.opts.send(to, this.datagram(datagramTypes.ping, rumors, seq));
-		return acked;
-	}
-
-	/** As a gateway, probes one contact of each other data centre and the seeds of unknown ones. */
-	private async probeContacts(): Promise<void> {
-		if (!this.isGateway) {
-			return;
-		}
-
-		const nowMs = this.opts.clock.monotonic();
-		if (nowMs - this.contactedMs > gossipTiming.contactIntervalMs) {
-			this.contactedMs = nowMs;
-			this.greetSeeds();
-			for (const dataCentre of this.contacts.dataCentres) {
-				for (const member of this.contacts.of(dataCentre).slice(0, 2)) {
-					this.knowledge.queue.add({kind: rumorKinds.contact, member});
-				}
-			}
-		}
-
-		await Promise.all(
-			this.contacts.dataCentres.map(async dataCentre => {
-				const contact = this.contacts.of(dataCentre)[0];
-				if (
-					contact &&
-					!(await this.ping(addressOf(contact), [this.ownRumor(), ...this.foreignNews()]))
-				) {
-					this.contacts.demote(contact.id);
-				}
-			}),
-		);
-	}
-
-	private expire(): void {
-		for (const member of this.table.overdueSuspects(gossipTiming.suspicionMs)) {
-			this.knowledge.learnMember({...member, state: memberStates.dead});
-			this.push();
-		}
-
-		this.table.expireTombstones();
-	}
 }
-
-const addressOf = ({host, peerPort}: Member): Address => ({host, port: peerPort});
--- a/packages/members/src/knowledge.ts
+++ b/packages/members/src/knowledge.ts
@@ -71,6 +71,16 @@
 			return this.learnContact(heard);
 		}
 
+		const isNews = this.merge(heard);
+		if (isNews) {
+			this.queue.add({kind: rumorKinds.member, member: heard});
+		}
+
+		return isNews;
+	}
+
+	/** Takes in a member of this data centre without passing it on; true when it was news. */
+	merge(heard: Member): boolean {
 		if (heard.id === this.me.id) {
 			this.learnOfSelf(heard);
 			return false;
@@ -82,7 +92,6 @@
 		}
 
 		this.logChange(before, heard);
-		this.queue.add({kind: rumorKinds.member, member: heard});
 		this.opts.onMembersChanged();
 		return true;
 	}
--- a/packages/members/src/rumor-queue.ts
+++ b/packages/members/src/rumor-queue.ts
@@ -46,7 +46,7 @@
 
 	/** Takes rumors of up to `maxBytes` in all and counts them as sent once. */
 	take(maxBytes: number, memberCount: number): Rumor[] {
-		const maxSends = Math.ceil(sendsPerLogMember * Math.log2(memberCount + 2));
+		const maxSends = sendsPerLogMember * Math.ceil(Math.log10(memberCount + 1) + 1);
 		const taken: Rumor[] = [];
 		let left = maxBytes;
 		for (const [key, entry] of [...this.entries].toSorted((a, b) => a[1].sent - b[1].sent)) {
--- /dev/null
+++ b/packages/node/src/calls/call-faults.ts
@@ -0,0 +1,30 @@
+import {Fault, faultKinds} from '@medlarsaddle/core';
+
+/** Why a call ends before or between its endpoints. */
+export const callFaults = {
+	noTimeLeft: Fault.of(
+		faultKinds.deadline,
+		'The deadline of the request leaves no time',
+		'Send it with a later deadline',
+	),
+	unknownService: Fault.of(
+		faultKinds.unknownService,
+		'No upstream serves this service and no policy names it',
+		'Check the name of the service; `medlarsaddle upstreams` lists those that are served',
+	),
+	parentGone: Fault.of(
+		faultKinds.cancelled,
+		'The request that this call belongs to has ended',
+		'Stop working on it',
+	),
+	pressedBelow: Fault.of(
+		faultKinds.overloaded,
+		'A service that this request needs takes no more work of its rank now',
+		'Send it again after the time that the answer names',
+	),
+	noEndpoint: Fault.of(
+		faultKinds.noEndpoint,
+		'No upstream of this service takes work in this data centre now',
+		'Send the request again later, or to another data centre',
+	),
+} as const;
--- a/packages/node/src/calls/carrier.ts
+++ b/packages/node/src/calls/carrier.ts
@@ -1,4 +1,4 @@
-import {type Clock, type Random, Fault, faultKinds} from '@medlarsaddle/core';
+import {type Clock, type Random, faultKinds} from '@medlarsaddle/core';
 import {
 	type Allowance,
 	type Endpoint,
@@ -11,6 +11,7 @@
 import type {Peers} from '../peers/peers.js';
 import {refusalOf} from '../peers/refusals.js';
 import type {Slot} from '../upstream/slot.js';
+import {callFaults} from './call-faults.js';
 import type {Directory} from './directory.js';
 
 type Opts = {
@@ -63,7 +64,7 @@
 		ratio.countFirst();
 		let freeChoices = 0;
 		let mayHaveRun = false;
-		let last = refusalOf(noEndpoint, runStates.notRun, 0, {retryAfterMs: 1000});
+		let last = refusalOf(callFaults.noEndpoint, runStates.notRun, 0, {retryAfterMs: 1000});
 		for (;;) {
 			const endpoint = this.choose(request.service, tried);
 			const remainingMs = endMs - clock.monotonic();
@@ -122,7 +123,7 @@
 				? await slot.run(request, signal)
 				: member
 					? await peers.call(member, callModes.run, request, signal)
-					: refusalOf(noEndpoint, runStates.notRun, request.allowance);
+					: refusalOf(callFaults.noEndpoint, runStates.notRun, request.allowance);
 		const nowMs = clock.monotonic();
 		this.stats.ended(
 			endpoint.node,
@@ -187,9 +188,3 @@
 	const isSafe = result.run === runStates.notRun || (request.idempotent && !result.final);
 	return isSafe && !isHopeless;
 };
-
-const noEndpoint = Fault.of(
-	faultKinds.noEndpoint,
-	'No upstream of this service takes work in this data centre now',
-	'Send the request again later, or to another data centre',
-);
--- a/packages/node/src/calls/owner.ts
+++ b/packages/node/src/calls/owner.ts
@@ -1,4 +1,4 @@
-import {type Clock, Fault, faultKinds, rendezvous} from '@medlarsaddle/core';
+import {type Clock, faultKinds, rendezvous} from '@medlarsaddle/core';
 import {Allowance, IssuedKey, type KeyLedger, issuerName, keyStates} from '@medlarsaddle/control';
 import type {Gossip, Member} from '@medlarsaddle/members';
 import {
@@ -16,6 +16,7 @@
 import type {AnswerStore} from './answer-store.js';
 import type {Carrier} from './carrier.js';
 import type {Directory} from './directory.js';
+import {keyFaults} from './key-faults.js';
 
 type Opts = {
 	readonly clock: Clock;
@@ -101,7 +102,7 @@
 		}
 
 		if (begun.value.state === keyStates.unknown) {
-			return refusalOf(outcomeLost, runStates.unknown, 0);
+			return refusalOf(keyFaults.outcomeLost, runStates.unknown, 0);
 		}
 
 		if (begun.value.state !== keyStates.unused) {
@@ -129,7 +130,7 @@
 		try {
 			return await carrier.carry(request, Allowance.of(request.allowance), signal);
 		} catch {
-			return refusalOf(outcomeLost, runStates.unknown, 0);
+			return refusalOf(keyFaults.outcomeLost, runStates.unknown, 0);
 		}
 	}
 
@@ -177,7 +178,7 @@
 		const answer = await this.findAnswer(key, request);
 		return answer
 			? {result: answer, cutoffs: [], load: 0, unspent: 0}
-			: refusalOf(issuerGone, runStates.unknown, 0);
+			: refusalOf(keyFaults.issuerGone, runStates.unknown, 0);
 	}
 
 	/** The process that may start a key: the one that issued it, or the one that took it over. */
@@ -207,7 +208,7 @@
 			}
 		}
 
-		return refusalOf(homeCutOff, runStates.unknown, 0);
+		return refusalOf(keyFaults.homeCutOff, runStates.unknown, 0);
 	}
 
 	/** Asks the nodes that would hold a copy of the answer. */
@@ -238,19 +239,3 @@
 
 const isUnreachable = ({result}: CallOutcome): boolean =>
 	result.kind === 'refusal' && result.fault === faultKinds.unreachable;
-
-const outcomeLost = Fault.of(
-	faultKinds.keyUnknown,
-	'The request was started under this key and its outcome is lost',
-	'Look up whether the action took effect; if it did not, send it with a new key',
-);
-const issuerGone = Fault.of(
-	faultKinds.keyUnknown,
-	'The node that issued this key is gone or cannot be reached, and no copy of an answer is left',
-	'Look up whether the action took effect; if it did not, send it with a new key',
-);
-const homeCutOff = Fault.of(
-	faultKinds.keyUnknown,
-	'The data centre that issued this key cannot be reached',
-	'Send it again once the data centre is back, or look up whether the action took effect',
-);
--- a/packages/node/src/calls/router.ts
+++ b/packages/node/src/calls/router.ts
@@ -1,6 +1,5 @@
-import {randomUUID} from 'node:crypto';
-import {type Clock, Fault, faultKinds} from '@medlarsaddle/core';
-import {Allowance, Cutoffs, LevelBook, cohortOf} from '@medlarsaddle/control';
+import {type Clock, faultKinds} from '@medlarsaddle/core';
+import {Allowance, Cutoffs, LevelBook} from '@medlarsaddle/control';
 import type {Gossip} from '@medlarsaddle/members';
 import type {Terms} from '@medlarsaddle/policy';
 import {type CallOutcome, type CallRequest, callModes, runStates} from '@medlarsaddle/wire';
@@ -9,11 +8,14 @@
 import {refusalOf} from '../peers/refusals.js';
 import type {InFlight} from '../upstream/in-flight.js';
 import type {InFlightCall} from '../upstream/in-flight-call.js';
+import {buildRequest} from './build-request.js';
+import {callFaults} from './call-faults.js';
 import type {Carrier} from './carrier.js';
 import type {Directory} from './directory.js';
 import type {Incoming} from './incoming.js';
 import type {Originated} from './originated.js';
 import type {Owner} from './owner.js';
+import {termsFor} from './terms-for.js';
 
 type Opts = {
 	readonly clock: Clock;
@@ -54,8 +56,8 @@
 	async originate(incoming: Incoming, signal: AbortSignal): Promise<Originated> {
 		const startMs = this.opts.clock.monotonic();
 		const parent = this.parentOf(incoming);
-		const terms = this.termsOf(incoming, parent);
-		const request = this.requestOf(incoming, terms, parent);
+		const terms = termsFor(this.opts.config.policy, incoming, parent !== undefined);
+		const request = buildRequest({incoming, terms, parent, nowMs: startMs});
 		const outcome = parent
 			? await this.carryChild(request, parent, signal)
 			: await this.carryRoot(request, terms, signal);
@@ -82,52 +84,6 @@
 		return context === undefined ? undefined : this.opts.inFlight.find(context);
 	}
 
-	private termsOf(incoming: Incoming, parent: InFlightCall | undefined): Terms {
-		const {policy} = this.opts.config;
-		const terms = policy.termsFor(incoming.service, incoming.job);
-		if (parent) {
-			return terms;
-		}
-
-		if (incoming.isFromUpstream) {
-			const rank = policy.base.ranks.length - 1;
-			return {...terms, rank, rankName: policy.base.ranks[rank]!.name, retries: 0};
-		}
-
-		const hinted = incoming.rankHint === undefined ? -1 : policy.rankIndex(incoming.rankHint);
-		const mayHint = policy.base.ranks[terms.rank]?.rankHint ?? false;
-		return mayHint && hinted > terms.rank
-			? {...terms, rank: hinted, rankName: policy.base.ranks[hinted]!.name}
-			: terms;
-	}
-
-	private requestOf(
-		incoming: Incoming,
-		terms: Terms,
-		parent: InFlightCall | undefined,
-	): CallRequest {
-		const {service, job, method, path, headers, body, key} = incoming;
-		const rootId = parent?.request.rootId ?? key ?? randomUUID();
-		const ownLimitMs = Math.min(terms.deadlineMs, incoming.deadlineMs ?? terms.deadlineMs);
-		const parentLeftMs = parent ? parent.deadlineMs - this.opts.clock.monotonic() : ownLimitMs;
-		return {
-			service,
-			job,
-			method,
-			path,
-			headers,
-			body,
-			rootId,
-			rank: parent?.request.rank ?? terms.rank,
-			cohort: parent?.request.cohort ?? cohortOf(rootId),
-			remainingMs: Math.min(ownLimitMs, parentLeftMs),
-			allowance: terms.retries,
-			depth: parent ? parent.request.depth + 1 : 0,
-			idempotent: terms.idempotent,
-			key,
-		};
-	}
-
 	private async carryChild(
 		request: CallRequest,
 		parent: InFlightCall,
@@ -136,7 +92,7 @@
 		const share = parent.allowance.split();
 		if (request.remainingMs <= 0 || parent.signal.aborted) {
 			parent.allowance.giveBack(share);
-			return refusalOf(parentGone, runStates.notRun, share);
+			return refusalOf(callFaults.parentGone, runStates.notRun, share);
 		}
 
 		parent.childBegan();
@@ -159,7 +115,11 @@
 		const isNew =
 			request.key === undefined || request.idempotent || this.opts.owner.isUnused(request.key);
 		if (request.remainingMs <= 0) {
-			return refusalOf(noTimeLeft, isNew ? runStates.notRun : runStates.unknown, request.allowance);
+			return refusalOf(
+				callFaults.noTimeLeft,
+				isNew ? runStates.notRun : runStates.unknown,
+				request.allowance,
+			);
 		}
 
 		const refused = isNew ? this.refusedAtEntry(request) : undefined;
@@ -175,7 +135,7 @@
 			result.fault === faultKinds.noEndpoint &&
 			result.run === runStates.notRun;
 		if (isHomeless && !this.opts.config.policy.names(request.service)) {
-			return refusalOf(unknownService, runStates.notRun, outcome.unspent);
+			return refusalOf(callFaults.unknownService, runStates.notRun, outcome.unspent);
 		}
 
 		const final =
@@ -240,7 +200,7 @@
 		const cutoffs = this.book.cutoffsFor(service, job, this.opts.clock.monotonic());
 		return !cutoffs || cutoffs.admits(rank, cohort)
 			? undefined
-			: refusalOf(pressedBelow, runStates.notRun, allowance, {retryAfterMs: 1000});
+			: refusalOf(callFaults.pressedBelow, runStates.notRun, allowance, {retryAfterMs: 1000});
 	}
 
 	private allowanceOf({key, allowance}: CallRequest): Allowance {
@@ -260,24 +220,3 @@
 		return fresh;
 	}
 }
-
-const noTimeLeft = Fault.of(
-	faultKinds.deadline,
-	'The deadline of the request leaves no time',
-	'Send it with a later deadline',
-);
-const unknownService = Fault.of(
-	faultKinds.unknownService,
-	'No upstream serves this service and no policy names it',
-	'Check the name of the service; `medlarsaddle upstreams` lists those that are served',
-);
-const parentGone = Fault.of(
-	faultKinds.cancelled,
-	'The request that this call belongs to has ended',
-	'Stop working on it',
-);
-const pressedBelow = Fault.of(
-	faultKinds.overloaded,
-	'A service that this request needs takes no more work of its rank now',
-	'Send it again after the time that the answer names',
-);
--- a/packages/testbed/src/bench/overlay.ts
+++ b/packages/testbed/src/bench/overlay.ts
@@ -38,6 +38,7 @@
 					connectedWithoutRack: largestComponent(edges, isOutsideRack),
 					connectedWithout30Percent: largestComponent(edges, isUp),
 					rounds: whole.rounds,
+					quietRounds: whole.quietRounds,
 					messagesPerMember: whole.messages / members,
 					reached: whole.reached,
 					roundsWithout30Percent: broken.rounds,
--- a/packages/testbed/src/harness/gossip-network.ts
+++ b/packages/testbed/src/harness/gossip-network.ts
@@ -106,6 +106,17 @@
 		return site;
 	}
 
+	/** Lets every member know all others of its data centre, as after a long time together. */
+	introduceAll(): void {
+		for (const {gossip} of this.sites) {
+			gossip.mergeMembers(
+				this.sites
+					.map(other => other.gossip.self)
+					.filter(({dataCentre}) => dataCentre === gossip.self.dataCentre),
+			);
+		}
+	}
+
 	/** Ends a member without a word. */
 	kill(site: Site): void {
 		site.stop();
--- a/packages/testbed/src/overlay/spread-rounds.ts
+++ b/packages/testbed/src/overlay/spread-rounds.ts
@@ -1,8 +1,10 @@
 import type {Random} from '@medlarsaddle/core';
 
 type Result = {
-	/** Rounds until nobody sends any more. */
+	/** Rounds until all have heard that will. */
 	readonly rounds: number;
+	/** Rounds until nobody sends any more. */
+	readonly quietRounds: number;
 	readonly messages: number;
 	/** Share of the living members that have heard. */
 	readonly reached: number;
@@ -14,12 +16,14 @@
 	tail: number;
 };
 
-const maxRounds = 200;
+/** A rumor stops at this many times the logarithm of the number of members, in rounds. */
+const ageFactor = 4;
 
 /**
  * Spreads one rumor by push and pull with the median-counter stop (Janson, 2006, section 2.2): each
  * round every living member calls one neighbour; the rumor passes either way; a member's counter
- * rises when most of those it met are at least as far; a full counter ends its sending.
+ * rises when most of those it met are at least as far, and is full at once when it meets a full one;
+ * with a full counter it sends for a few rounds more. A rumor has a greatest age besides.
  *
  * @example
  * const {rounds, messages} = spreadRounds(edges, isAlive, random);
@@ -34,8 +38,10 @@
 	const heard = new Map<number, Member>([[alive[0]!, {counter: 1, tail: fullCounter}]]);
 	let messages = 0;
 	let rounds = 0;
+	let lastNewsRound = 0;
+	const maxAge = Math.ceil(ageFactor * Math.log2(edges.length));
 	const sends = (member: number) => (heard.get(member)?.tail ?? 0) > 0;
-	while (rounds < maxRounds && alive.some(member => sends(member))) {
+	while (rounds < maxAge && alive.some(member => sends(member))) {
 		rounds++;
 		const met = new Map<number, number[]>();
 		const news: number[] = [];
@@ -63,16 +69,17 @@
 			}
 		}
 
-		for (const [member, counters] of met) {
-			advance(heard.get(member)!, counters, fullCounter);
+		for (const [id, member] of heard) {
+			advance(member, met.get(id) ?? [], fullCounter);
 		}
 
+		lastNewsRound = news.length > 0 ? rounds : lastNewsRound;
 		for (const member of news) {
 			heard.set(member, {counter: 1, tail: fullCounter});
 		}
 	}
 
-	return {rounds, messages, reached: heard.size / alive.length};
+	return {rounds: lastNewsRound, quietRounds: rounds, messages, reached: heard.size / alive.length};
 };
 
 const advance = (member: Member, counters: readonly number[], fullCounter: number): void => {
@@ -82,7 +89,9 @@
 	}
 
 	const further = counters.filter(counter => counter >= member.counter).length;
-	if (further * 2 > counters.length) {
+	if (counters.some(counter => counter >= fullCounter)) {
+		member.counter = fullCounter;
+	} else if (further * 2 > counters.length) {
 		member.counter++;
 	}
 };
