Do not take an idle link for a silent one, and wait for the effect of each limit

A link between nodes that nobody had used for 1.2 s counted as silent as soon as the next call waited on it, and was closed under that call. Second, the limit of a busy upstream with 4 slots swung between 17 and 59: each window judged calls that had been started under an earlier limit, so it cut and then rebased on its own queue.

Ruled out: faults of the connection pool and of the message handlers, by a closed run of 600 calls without one such end.

Change: quiet time on a link counts from when somebody first waits. The limit waits for as long as a call takes after each change, and exceeds what latency calls for by half of its square root. A handler that fails answers its call and keeps the link; a call of an unknown mode is refused.

--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -10,6 +10,9 @@
 const tolerance = 1.5;
 const smoothing = 0.5;
 const startFactor = 2;
+
+/** Share of the square root of the limit that it may exceed what latency calls for. */
+const headroom = 0.5;
 const minGradient = 0.5;
 const baselineRisePerWindow = 1.002;
 const minSamples = 5;
@@ -22,13 +25,17 @@
 const trialRemains = 0.8;
 const averageGain = 0.2;
 
+/** Length of a window, in milliseconds. */
+const windowMs = 100;
+
 /** A baseline that falls this much at once tells that a slower spell of the upstream is over. */
 const fasterFactor = 1.3;
 
 /**
  * Finds how many calls an upstream runs at once without queueing, from latency. Latency is compared
  * with the lowest window average of the same job, so that jobs of different length can share an
- * upstream. A new limit doubles each busy window until latency first rises. From then on it grows by
+ * upstream. Windows are 100 ms long; after a change the limit waits for as long as a call takes, so
+ * that it judges what it has caused. A new limit doubles each time until latency first rises. From then on it grows by
  * its square root while latency stays near the baseline and shrinks in proportion when it rises. When
  * shrinking does not bring latency down, the upstream itself has become slower, and what it shows now
  * is the new baseline. When it then becomes faster again, the limit is halved until latency falls no
@@ -49,6 +56,8 @@
 	private isStarting = true;
 	private trial: {readonly limit: number; readonly slowdown: number} | undefined;
 	private average = 0;
+	/** Windows until the last change of the limit shows in latencies. */
+	private hold = 0;
 	private isRebased = false;
 	private fastest = 1;
 	private readonly baselines = new Map<string, number>();
@@ -90,11 +99,20 @@
 
 	/** Ends a window in which at most `peakInFlight` calls ran at once. */
 	closeWindow(peakInFlight: number): void {
+		if (this.hold > 0) {
+			// Calls that end now were started under an earlier limit.
+			this.hold--;
+			this.window.clear();
+			return;
+		}
+
 		const slowdown = this.slowdown();
 		if (slowdown === undefined) {
 			return;
 		}
 
+		this.hold = Math.floor(this.average / windowMs);
+
 		const gradient = Math.max(minGradient, Math.min(1, tolerance / slowdown));
 		this.judgeTrial(slowdown, gradient);
 		if (this.isRebased && this.fastest > fasterFactor) {
@@ -102,7 +120,7 @@
 			return;
 		}
 
-		const wanted = this.limit * gradient + Math.sqrt(this.limit);
+		const wanted = this.limit * gradient + Math.sqrt(this.limit) * headroom;
 		// An idle upstream says nothing about how much it could run.
 		const grows = wanted > this.limit;
 		if (grows && peakInFlight < this.limit / 2) {
--- a/packages/control/test/admission.test.ts
+++ b/packages/control/test/admission.test.ts
@@ -117,6 +117,38 @@
 	assert.ok(limit.value < grown / 2);
 });
 
+test('the limit stays near the slots of an upstream that is always busy', () => {
+	const slots = 4;
+	const serviceMs = 60;
+	const limit = ConcurrencyLimit.create({slotsHint: slots, maxLimit: 200});
+	const line: number[] = [];
+	let busy: Array<{startMs: number; endMs: number}> = [];
+	const highest: number[] = [];
+	for (let nowMs = 0; nowMs < 60_000; nowMs++) {
+		for (const {startMs} of busy.filter(({endMs}) => endMs <= nowMs)) {
+			limit.sample('job', nowMs - startMs);
+		}
+
+		busy = busy.filter(({endMs}) => endMs > nowMs);
+		while (line.length + busy.length < limit.value) {
+			line.push(nowMs);
+		}
+
+		while (busy.length < slots && line.length > 0) {
+			busy.push({startMs: line.shift()!, endMs: nowMs + serviceMs});
+		}
+
+		if (nowMs % 100 === 99) {
+			limit.closeWindow(limit.value);
+			highest.push(limit.value);
+		}
+	}
+
+	const settled = highest.slice(100);
+	assert.ok(Math.max(...settled) <= slots * 4, `${Math.max(...settled)} at the most`);
+	assert.ok(Math.min(...settled) >= slots, `${Math.min(...settled)} at the least`);
+});
+
 test('an upstream that has become slower itself keeps the concurrency it can use', () => {
 	const limit = ConcurrencyLimit.create({slotsHint: 16, maxLimit: 100});
 	const slots = 16;
--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -52,6 +52,8 @@
 	private link: Link | undefined;
 	private nextId = 1;
 	private usedMs: number;
+	/** Since when there has been somebody who waits for a reply. */
+	private waitingSinceMs = 0;
 	private settleOpened: ((isOpen: boolean) => void) | undefined;
 
 	private constructor(private readonly opts: Opts) {
@@ -183,6 +185,10 @@
 
 			const stopTimer = this.opts.clock.after(Math.max(0, timeoutMs), onAbort);
 			signal?.addEventListener('abort', onAbort, {once: true});
+			if (this.waiting.size === 0) {
+				this.waitingSinceMs = this.opts.clock.monotonic();
+			}
+
 			this.waiting.set(id, settle);
 		});
 	}
@@ -201,7 +207,8 @@
 		while (link.isOpen) {
 			await this.opts.clock.sleep(watchPeriodMs);
 			const nowMs = this.opts.clock.monotonic();
-			const quiet = nowMs - link.heardMs;
+			// A link on which nobody waited may have been quiet for long.
+			const quiet = nowMs - Math.max(link.heardMs, this.waitingSinceMs);
 			if (this.waiting.size === 0) {
 				if (nowMs - this.usedMs > idleCloseMs) {
 					return;
--- a/packages/node/src/peers/serve-connection.ts
+++ b/packages/node/src/peers/serve-connection.ts
@@ -1,8 +1,16 @@
 import type {Socket} from 'node:net';
-import {type Clock, type Log, errorText, events} from '@medlarsaddle/core';
+import {type Clock, Fault, type Log, errorText, events, faultKinds} from '@medlarsaddle/core';
 import type {Task} from '@medlarsaddle/supervise';
-import {Link, type Message, messageTypes} from '@medlarsaddle/wire';
+import {
+	type CallOutcome,
+	Link,
+	type Message,
+	callModes,
+	messageTypes,
+	runStates,
+} from '@medlarsaddle/wire';
 import type {Handlers} from './handlers.js';
+import {refusalOf} from './refusals.js';
 
 type Deps = {
 	readonly clock: Clock;
@@ -27,10 +35,24 @@
 			link.close();
 		};
 
+		const carryOut = async (
+			{mode, request}: Extract<Message, {type: 'call'}>,
+			callSignal: AbortSignal,
+		): Promise<CallOutcome> => {
+			try {
+				return modes.has(mode)
+					? await handlers[mode](request, callSignal)
+					: refusalOf(failedHere, runStates.notRun, 0);
+			} catch (error) {
+				log(events.taskFailed, {task: 'call', error: errorText(error)});
+				return refusalOf(failedHere, runStates.unknown, 0);
+			}
+		};
+
 		const runCall = async (message: Extract<Message, {type: 'call'}>): Promise<void> => {
 			const abort = new AbortController();
 			running.set(message.id, abort);
-			const outcome = await handlers[message.mode](message.request, abort.signal);
+			const outcome = await carryOut(message, abort.signal);
 			running.delete(message.id);
 			link.send({type: messageTypes.outcome, id: message.id, outcome});
 		};
@@ -38,10 +60,7 @@
 		const handle = (message: Message): void => {
 			switch (message.type) {
 				case messageTypes.call: {
-					runCall(message).catch((error: unknown) => {
-						log(events.peerProtocolError, {error: errorText(error)});
-						link.close();
-					});
+					void runCall(message);
 					break;
 				}
 
@@ -115,3 +134,11 @@
 			}
 		}
 	};
+
+const modes = new Set<string>(Object.values(callModes));
+
+const failedHere = Fault.of(
+	faultKinds.internal,
+	'The node beside the upstream failed on this call',
+	'Look up whether the action took effect; report it with the time of the request',
+);
--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -84,7 +84,13 @@
 				headers: headers as string[],
 				body: body.length > 0 ? body : undefined,
 			};
-			this.client.dispatch(options, reader);
+			try {
+				this.client.dispatch(options, reader);
+			} catch (error) {
+				// It throws only before anything was sent.
+				const {fault, wasClosed} = this.failureOf(error, signal);
+				resolve(err({fault, mayHaveRun: false, wasClosed}));
+			}
 		});
 	}
 
--- a/packages/testbed/src/capacity/capacity-tables.ts
+++ b/packages/testbed/src/capacity/capacity-tables.ts
@@ -97,7 +97,7 @@
 			'measured at full size on a manual clock, one data centre',
 		],
 		[
-			'rack of 40 gone everywhere, ms',
+			'rack of 20 gone everywhere, ms',
 			'',
 			'',
 			'',
--- a/packages/testbed/test/faults.test.ts
+++ b/packages/testbed/test/faults.test.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import net from 'node:net';
 import {afterEach, test} from 'node:test';
+import {codec, frames} from '@medlarsaddle/wire';
 import {request} from 'undici';
 import {TestCluster} from '../src/harness/test-cluster.js';
 
@@ -264,6 +265,7 @@
 		const socket = net.connect(first!.node.ports.peer, '127.0.0.1');
 		await once(socket, 'connect');
 		socket.on('error', () => {});
+		socket.resume();
 		socket.end(bytes);
 		await once(socket, 'close');
 		const datagrams = dgram.createSocket('udp4');
--- a/xo.config.js
+++ b/xo.config.js
@@ -46,6 +46,7 @@
 		files: [
 			'packages/core/src/create-random.ts',
 			'packages/core/src/hash32.ts',
+			'packages/core/src/rendezvous.ts',
 			'packages/members/src/member-table.ts',
 			'packages/node/src/config/config.ts',
 		],
