--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -25,6 +25,9 @@
 
 const queueTargetMs = 20;
 const minQueueWaitMs = 200;
+
+/** How long a call may wait, in times that the upstream takes for one. */
+const queueWaitCalls = 2;
 const maxQueueShare = 1;
 const minQueueSize = 4;
 
@@ -201,9 +204,9 @@
 		});
 	}
 
-	/** A queue of a slow upstream moves slowly, so its calls may wait for as long as one call takes. */
+	/** A queue of a slow upstream moves slowly, so its calls may wait for as long as a few calls take. */
 	private get maxWaitMs(): number {
-		return Math.max(minQueueWaitMs, this.limit.averageMs);
+		return Math.max(minQueueWaitMs, this.limit.averageMs * queueWaitCalls);
 	}
 
 	private grantNext(): void {
