--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -26,10 +26,13 @@
 const queueTargetMs = 20;
 const minQueueWaitMs = 200;
 
+/** Least wait allowed while the limit of a new upstream is still being found. */
+const rampQueueWaitMs = 1000;
+
 /** How long a call may wait, in times that the upstream takes for one. */
 const queueWaitCalls = 2;
 const maxQueueShare = 1;
-const minQueueSize = 4;
+const minQueueSize = 8;
 
 /** How far beyond the cutoff a call is admitted that others have already worked for, in cohorts. */
 const startedSlack = 32;
@@ -206,7 +209,8 @@
 
 	/** A queue of a slow upstream moves slowly, so its calls may wait for as long as a few calls take. */
 	private get maxWaitMs(): number {
-		return Math.max(minQueueWaitMs, this.limit.averageMs * queueWaitCalls);
+		const leastMs = this.limit.isRamping ? rampQueueWaitMs : minQueueWaitMs;
+		return Math.max(leastMs, this.limit.averageMs * queueWaitCalls);
 	}
 
 	private grantNext(): void {
--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -91,7 +91,7 @@
 	/** Takes in the upstream's own time on one call, downstream calls left out. */
 	sample(job: string, ownMs: number): void {
 		const sum = this.window.get(job) ?? {sumMs: 0, count: 0};
-		this.average += (ownMs - this.average) * averageGain;
+		this.average = this.average === 0 ? ownMs : this.average + (ownMs - this.average) * averageGain;
 		sum.sumMs += Math.max(0.05, ownMs);
 		sum.count++;
 		this.window.set(job, sum);
