Do not extrapolate a falling share of the processor

Cause: the capacity page gave -4.57% of a core for control at the planned size. The share for each node falls from 21 to 180 nodes, since the nodes of one process share a fixed cost, and a line through it goes below zero.

Ruled out: leaving the figure out, which hides that it is known only up to 180 nodes.

Change: a slope that is not positive is not extrapolated; the largest measured share stands and is marked so.

The share at 938 members of one data centre is not measured.

--- a/packages/testbed/src/capacity/capacity-tables.ts
+++ b/packages/testbed/src/capacity/capacity-tables.ts
@@ -46,14 +46,12 @@
 	const sizes = [spread.nodes20, spread.nodes60, spread.nodes180];
 	const members = plan.nodes / plan.dataCentres;
 	const changesPerSecond = plan.changesPerDay / secondsPerDay;
-	const lineOf = (read: (size: z.infer<typeof spreadSize>) => number) =>
-		slope(sizes.map(size => [size.nodes / benchDataCentres, read(size)]));
-	const atPlan = (read: (size: z.infer<typeof spreadSize>) => number) => {
-		const {at0, perUnit} = lineOf(read);
-		return at0 + perUnit * members;
-	};
-
-	const core = atPlan(({coreShare}) => coreShare);
+	const line = slope(sizes.map(size => [size.nodes / benchDataCentres, size.coreShare]));
+	// A fixed cost shared by the nodes of one process makes the share fall; that does not go on.
+	const doesGrow = line.perUnit > 0;
+	const core = doesGrow
+		? line.at0 + line.perUnit * members
+		: Math.max(...sizes.map(({coreShare}) => coreShare));
 	const perChange = Math.max(...sizes.map(size => size.bytesPerChangeAndNode));
 	const bytes = full.quiet.bytesPerSecond + perChange * changesPerSecond;
 	const rows = [
@@ -62,7 +60,7 @@
 			'processor time, share of a core',
 			...sizes.map(size => percent(size.coreShare)),
 			`${percent(core)} of ${percent(plan.maxCoreShare)}`,
-			'extrapolated from the slope',
+			doesGrow ? 'extrapolated from the slope' : 'largest measured; it did not grow with the nodes',
 		],
 		[
 			'control bytes a second, quiet',
