--- a/packages/testbed/src/bench/churn.ts
+++ b/packages/testbed/src/bench/churn.ts
@@ -16,15 +16,15 @@
 		const swarm = await Swarm.start(size);
 		try {
 			const rack = swarm.places.filter(({dataCentre}) => dataCentre === 'dc1').slice(0, rackSize);
-			const killMs = performance.now();
+			const killMs = swarm.clock.monotonic();
 			await Promise.all(rack.map(async place => swarm.end(place, 'kill')));
 			await swarm.settle(settleLimitMs);
-			const detectMs = performance.now() - killMs;
+			const detectMs = swarm.clock.monotonic() - killMs;
 			const slowestMs = await restartAll(swarm);
-			const joinMs = performance.now();
+			const joinMs = swarm.clock.monotonic();
 			await Promise.all(rack.map(async place => swarm.restart(place)));
 			await swarm.settle(settleLimitMs);
-			const rejoinMs = performance.now() - joinMs;
+			const rejoinMs = swarm.clock.monotonic() - joinMs;
 			const events = await swarm.events();
 			return {
 				figures: {
@@ -57,12 +57,12 @@
 		await swarm.restart(place);
 		if (index % 4 === 0) {
 			const name = `service-${index}`;
-			const startMs = performance.now();
+			const startMs = swarm.clock.monotonic();
 			const at = swarm.places.find(({isUp}) => isUp)!;
 			const text = sectionText(name, index);
 			await swarm.put(at, {name, text, expectedVersion: 0, changeId: name});
 			await swarm.untilHeld(name, 1, settleLimitMs);
-			slowestMs = Math.max(slowestMs, performance.now() - startMs);
+			slowestMs = Math.max(slowestMs, swarm.clock.monotonic() - startMs);
 		}
 	}
 
--- a/packages/testbed/src/bench/spread.ts
+++ b/packages/testbed/src/bench/spread.ts
@@ -47,11 +47,11 @@
 		for (let change = 0; change < changes; change++) {
 			const place = swarm.places[(change * 7) % nodes]!;
 			const name = `service-${change}`;
-			const startMs = performance.now();
+			const startMs = swarm.clock.monotonic();
 			const text = sectionText(name, change);
 			await swarm.put(place, {name, text, expectedVersion: 0, changeId: `change-${change}`});
 			await swarm.untilHeld(name, 1, limitMs);
-			times.push(performance.now() - startMs);
+			times.push(swarm.clock.monotonic() - startMs);
 		}
 
 		const after = await trafficOf(swarm);
--- a/packages/testbed/src/deploy/fleet.ts
+++ b/packages/testbed/src/deploy/fleet.ts
@@ -4,6 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {Operators} from '@medlarsaddle/client';
+import {type Clock, createSystemClock} from '@medlarsaddle/core';
 import {Agent, request} from 'undici';
 import {Child} from './child.js';
 import type {Deployment} from './deployment.js';
@@ -14,6 +15,7 @@
 	readonly seed: number;
 	readonly admission?: 'on' | 'off';
 	readonly coldRequests?: number;
+	readonly clock?: Clock;
 };
 
 type Ports = {
@@ -198,11 +200,12 @@
 
 	/** Waits until every running node lists all upstreams of its data centre as ready for work. */
 	async settle(): Promise<void> {
-		const endMs = performance.now() + settleMs;
+		const {clock = createSystemClock()} = this.opts;
+		const endMs = clock.monotonic() + settleMs;
 		for (const host of this.hosts) {
 			const expected = this.hosts.filter(other => other.dataCentre === host.dataCentre).length;
 			while ((await this.endpointsKnown(host)) < expected) {
-				if (performance.now() > endMs) {
+				if (clock.monotonic() > endMs) {
 					throw new Error(`${host.id} does not know its data centre in time`);
 				}
 
--- a/packages/testbed/src/deploy/swarm.ts
+++ b/packages/testbed/src/deploy/swarm.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {Operators} from '@medlarsaddle/client';
+import {type Clock, createSystemClock} from '@medlarsaddle/core';
 import {Agent, request} from 'undici';
 import {processUsage} from '../bench/process-usage.js';
 import {Child} from './child.js';
@@ -44,14 +45,14 @@
  */
 export class Swarm {
 	/** Starts `count` nodes in three data centres and waits until each knows its own data centre. */
-	static async start(count: number): Promise<Swarm> {
+	static async start(count: number, clock: Clock = createSystemClock()): Promise<Swarm> {
 		const platform = await Child.start({
 			script: script('platform'),
 			args: [],
 			readyIn: line => line.ready,
 		});
 		const {url} = platform.ready as {url: string};
-		const swarm = new Swarm(platform, url);
+		const swarm = new Swarm(platform, url, clock);
 		await swarm.grow(count);
 		await swarm.settle();
 		return swarm;
@@ -64,6 +65,7 @@
 	private constructor(
 		readonly platform: Child,
 		readonly storeUrl: string,
+		readonly clock: Clock,
 	) {}
 
 	/** Processes that hold nodes. */
@@ -116,12 +118,12 @@
 		limitMs: number,
 		isMeant: (state: NodeState) => boolean = () => true,
 	): Promise<number> {
-		const startMs = performance.now();
+		const startMs = this.clock.monotonic();
 		await this.until(async () => {
 			const states = await this.state(section);
 			return states.filter(state => isMeant(state)).every(state => state.version >= version);
 		}, limitMs);
-		return performance.now() - startMs;
+		return this.clock.monotonic() - startMs;
 	}
 
 	/** Puts a section at a node; resolves with its version, or with the kind of its fault. */
@@ -251,9 +253,9 @@
 	}
 
 	private async until(condition: () => Promise<boolean>, limitMs: number): Promise<void> {
-		const endMs = performance.now() + limitMs;
+		const endMs = this.clock.monotonic() + limitMs;
 		while (!(await condition())) {
-			if (performance.now() > endMs) {
+			if (this.clock.monotonic() > endMs) {
 				throw new Error(`The swarm did not get there in ${limitMs} ms`);
 			}
 
--- a/packages/testbed/src/harness/test-cluster.ts
+++ b/packages/testbed/src/harness/test-cluster.ts
@@ -50,6 +50,7 @@
 	readonly hosts: Host[] = [];
 	/** Log lines of all nodes. */
 	readonly lines: string[] = [];
+	private readonly clock = createSystemClock();
 	private count = 0;
 
 	private constructor(
@@ -94,7 +95,7 @@
 			].flatMap(([flag, value]) => [`--${flag}`, value!]),
 			{},
 		);
-		const clock = createSystemClock();
+		const {clock} = this;
 		const log: Log = createLog({
 			clock,
 			level: 'info',
@@ -113,9 +114,9 @@
 
 	/** Waits until a condition holds; rejects when it does not in time. */
 	async until(condition: () => boolean | Promise<boolean>): Promise<void> {
-		const endMs = Date.now() + waitMs;
+		const endMs = this.clock.now() + waitMs;
 		while (!(await condition())) {
-			if (Date.now() > endMs) {
+			if (this.clock.now() > endMs) {
 				throw new Error(`Condition did not hold in time: ${condition.toString()}`);
 			}
 
--- a/packages/testbed/test/faults.test.ts
+++ b/packages/testbed/test/faults.test.ts
@@ -61,6 +61,18 @@
 	return cluster.hosts;
 };
 
+const putIdempotentPolicy = async (hosts: readonly Host[]): Promise<void> => {
+	hosts[0]!.node.takeSection({
+		name: 'map',
+		version: 1,
+		changeId: 'c1',
+		author: 'test',
+		atMs: 0,
+		text: idempotentPolicy,
+	});
+	await cluster.until(() => hosts.every(({node}) => node.versionOf('map') === 1));
+};
+
 test('a resend after the issuer was killed gets the kept answer, and nothing runs again', async () => {
 	const [issuer, other] = await start(
 		place('dc1', 'payment'),
@@ -210,15 +222,7 @@
 
 test('an idempotent call is sent to another endpoint within its allowance', async () => {
 	const hosts = await start(place('dc1', 'map'), place('dc1', 'map'), place('dc1', 'payment'));
-	hosts[0]!.node.takeSection({
-		name: 'map',
-		version: 1,
-		changeId: 'c1',
-		author: 'test',
-		atMs: 0,
-		text: idempotentPolicy,
-	});
-	await cluster.until(() => hosts.every(({node}) => node.versionOf('map') === 1));
+	await putIdempotentPolicy(hosts);
 	hosts[0]!.upstream.crash();
 	const replies = await Promise.all(
 		Array.from({length: 10}, async (_value, index) =>
@@ -230,15 +234,7 @@
 
 test('a refusal never says "not-run" when an earlier try may have run', async () => {
 	const hosts = await start(place('dc1', 'map'), place('dc1', 'map'), place('dc1', 'payment'));
-	hosts[0]!.node.takeSection({
-		name: 'map',
-		version: 1,
-		changeId: 'c1',
-		author: 'test',
-		atMs: 0,
-		text: idempotentPolicy,
-	});
-	await cluster.until(() => hosts.every(({node}) => node.versionOf('map') === 1));
+	await putIdempotentPolicy(hosts);
 	hosts[0]!.upstream.setFaults({truncateShare: 1});
 	hosts[1]!.upstream.crash();
 	for (let index = 0; index < 20; index++) {
