Judge an upstream by how long calls hold their place

Any call shed from a queue, of whatever rank, pressed on all ranks. Under a standing queue the oldest were left to expire.

Change: Admission learns how long calls hold their place, by job. The limit waits that long after a change; a call may wait four times that long, while it can still end in time; cutoffs are set once in that time. Ranks more urgent than any call that was shed keep their cutoff, and a queue that only stands leaves the most urgent rank alone. Newest first starts once the oldest has spent three quarters of its wait. The limit tolerates a slowdown of 1.25 in place of 1.5, and probes an upstream that has been busy for long with half the limit, which replaces the slow rise of the baseline. A first limit is at most 16, however many slots are reported.

--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -3,6 +3,7 @@
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {CutoffControl} from './cutoff-control.js';
 import type {Cutoffs} from './cutoffs.js';
+import {HoldTimes} from './hold-times.js';
 import {RankQueue} from './rank-queue.js';
 
 type Opts = {
@@ -15,6 +16,7 @@
 };
 
 type Call = {
+	readonly job: string;
 	readonly rank: number;
 	readonly cohort: number;
 	/** Hops from the root; work has been done already for a call deeper than 0. */
@@ -23,16 +25,27 @@
 	readonly signal: AbortSignal;
 };
 
-const queueTargetMs = 20;
+/** Wait beyond which a queue counts as standing, in times that a call holds its place. */
+const standingCalls = 0.5;
+const minStandingMs = 20;
 const minQueueWaitMs = 200;
 
 /** Least wait allowed while the limit of a new upstream is still being found. */
 const rampQueueWaitMs = 1000;
 
-/** How long a call may wait, in times that the upstream takes for one. */
-const queueWaitCalls = 2;
-const maxQueueShare = 1;
-const minQueueSize = 8;
+/** How long a call may wait, in times that a call holds its place. */
+const queueWaitCalls = 4;
+
+/** Share of the time to its deadline that a call may wait at least, however long calls take. */
+const minWaitShare = 0.5;
+const maxQueueShare = 2;
+const minQueueSize = 16;
+
+/** Length of a window, in milliseconds. */
+const windowMs = 100;
+
+/** Most windows that the cutoffs stay as they are. */
+const maxHeldWindows = 10;
 
 /** How far beyond the cutoff a call is admitted that others have already worked for, in cohorts. */
 const startedSlack = 32;
@@ -42,9 +55,9 @@
  * Every refusal is made before the upstream has seen the call, so it is certain that it did not run.
  *
  * @example
- * const permit = await admission.enter({rank: 0, cohort: 5, deadlineMs, signal});
+ * const permit = await admission.enter({job: 'PAY', rank: 0, cohort: 5, depth: 0, deadlineMs, signal});
  * if (permit.isOk()) {
- * 	admission.leave('PAY', ownMs);
+ * 	admission.leave('PAY', {ownMs: 12, heldMs: 40});
  * }
  */
 export class Admission {
@@ -58,7 +71,10 @@
 	private readonly queue: RankQueue;
 	private arrivals: number[] = [];
 	private completions = 0;
-	private overflowed = false;
+	/** Most urgent rank of a call that was shed from the queue in this interval. */
+	private shedRank = Number.POSITIVE_INFINITY;
+	private windows = 0;
+	private readonly holds = HoldTimes.create();
 	private leastWaitMs = Number.POSITIVE_INFINITY;
 	private running = 0;
 	private peak = 0;
@@ -67,7 +83,7 @@
 	private constructor(private readonly opts: Opts) {
 		this.limit = ConcurrencyLimit.create(opts);
 		this.control = CutoffControl.create(opts.floors);
-		this.queue = RankQueue.create(opts.floors, queueTargetMs);
+		this.queue = RankQueue.create(opts.floors);
 	}
 
 	/** The cutoffs to send back on answers. */
@@ -132,53 +148,71 @@
 		return this.wait(call, nowMs);
 	}
 
-	/** Ends a permit after the upstream spent `ownMs` on the call itself. */
-	leave(job: string, ownMs: number | undefined): void {
+	/**
+	 * Ends a permit. `time` is left out when the call did not complete: how long the upstream spent on
+	 * the call itself, and how long the call held its place in all, in milliseconds.
+	 */
+	leave(job: string, time?: {readonly ownMs: number; readonly heldMs: number}): void {
 		this.running--;
-		if (ownMs !== undefined) {
+		if (time) {
 			this.completions++;
-			this.limit.sample(job, ownMs);
+			this.limit.sample(job, time);
+			this.holds.note(job, time.heldMs);
 		}
 
 		this.grantNext();
 	}
 
-	/** Ends a control window: expires waiting calls, then sets limit and cutoffs. */
+	/**
+	 * Ends a control window: expires waiting calls, then sets limit and cutoffs. Cutoffs are set once
+	 * in the time that a call takes, since before that nothing shows of what they have changed.
+	 */
 	closeWindow(): void {
 		const nowMs = this.opts.clock.monotonic();
 		for (const waiter of this.queue.expired(nowMs)) {
-			this.overflowed = true;
-			waiter.refuse();
+			this.shed(waiter);
 		}
 
-		// A queue stands when not one call of the window got through it quickly.
-		const isStanding =
-			this.leastWaitMs > queueTargetMs && this.leastWaitMs < Number.POSITIVE_INFINITY;
 		this.limit.closeWindow(this.peak);
+		this.peak = this.running;
+		this.windows++;
+		if (this.windows >= Math.min(maxHeldWindows, this.holds.meanMs / windowMs)) {
+			this.setCutoffs();
+		}
+
+		this.grantNext();
+	}
+
+	private setCutoffs(): void {
+		// A queue stands when not one call of the interval got through it quickly.
+		const standingMs = Math.max(minStandingMs, this.holds.meanMs * standingCalls);
+		const isStanding = this.leastWaitMs > standingMs && this.leastWaitMs < Number.POSITIVE_INFINITY;
+		// Until the limit is known, completions say nothing about the capacity.
+		const isKnown = !this.limit.isRamping;
 		this.control.close({
+			windows: this.windows,
 			arrivals: this.arrivals,
 			completions: this.completions,
-			// Until the limit is known, completions say nothing about the capacity.
-			pressed: (this.overflowed || isStanding) && !this.limit.isRamping,
+			isStanding: isKnown && isStanding,
+			shedRank: isKnown ? this.shedRank : Number.POSITIVE_INFINITY,
 		});
+		this.windows = 0;
 		this.arrivals = [];
 		this.completions = 0;
-		this.overflowed = false;
+		this.shedRank = Number.POSITIVE_INFINITY;
 		this.leastWaitMs = Number.POSITIVE_INFINITY;
-		this.peak = this.running;
-		this.grantNext();
 	}
 
 	private async wait(call: Call, nowMs: number): Promise<Result<true, Fault>> {
 		const maxSize = Math.max(minQueueSize, this.limit.value * maxQueueShare);
 		if (this.queue.size >= maxSize) {
-			this.overflowed = true;
 			const evicted = this.queue.evictBelow({rank: call.rank, isStarted: call.depth > 0});
 			if (!evicted) {
+				this.shedRank = Math.min(this.shedRank, call.rank);
 				return this.refuse(overloaded);
 			}
 
-			evicted.refuse();
+			this.shed(evicted);
 		}
 
 		return new Promise(resolve => {
@@ -192,7 +226,7 @@
 				rank: call.rank,
 				isStarted: call.depth > 0,
 				enqueuedMs: nowMs,
-				expiresMs: Math.min(call.deadlineMs, nowMs + this.maxWaitMs),
+				expiresMs: this.expiryOf(call, nowMs),
 				grant() {
 					call.signal.removeEventListener('abort', stop);
 					resolve(ok(true));
@@ -207,10 +241,15 @@
 		});
 	}
 
-	/** A queue of a slow upstream moves slowly, so its calls may wait for as long as a few calls take. */
-	private get maxWaitMs(): number {
+	/** A call that could not end in time any more is not started. */
+	private expiryOf({job, deadlineMs}: Call, nowMs: number): number {
 		const leastMs = this.limit.isRamping ? rampQueueWaitMs : minQueueWaitMs;
-		return Math.max(leastMs, this.limit.averageMs * queueWaitCalls);
+		const maxWaitMs = Math.max(leastMs, this.holds.meanMs * queueWaitCalls);
+		const latestMs = Math.max(
+			deadlineMs - this.holds.of(job),
+			nowMs + (deadlineMs - nowMs) * minWaitShare,
+		);
+		return Math.min(latestMs, nowMs + maxWaitMs);
 	}
 
 	private grantNext(): void {
@@ -222,8 +261,7 @@
 			}
 
 			if (waiter.expiresMs <= nowMs) {
-				this.overflowed = true;
-				waiter.refuse();
+				this.shed(waiter);
 				continue;
 			}
 
@@ -234,6 +272,11 @@
 		}
 	}
 
+	private shed({rank, refuse}: {readonly rank: number; readonly refuse: () => void}): void {
+		this.shedRank = Math.min(this.shedRank, rank);
+		refuse();
+	}
+
 	private begin(rank: number, nowMs: number): void {
 		this.leastWaitMs = 0;
 		this.running++;
--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -7,14 +7,16 @@
 const coldStartShare = 0.5;
 const minLimit = 1;
 const minFirstLimit = 4;
-const tolerance = 1.5;
+
+/** The hint may be wrong by any factor; doubling soon makes up for a first limit that is too low. */
+const maxFirstLimit = 16;
+const tolerance = 1.25;
 const smoothing = 0.5;
 const startFactor = 2;
 
 /** Share of the square root of the limit that it may exceed what latency calls for. */
 const headroom = 0.5;
 const minGradient = 0.5;
-const baselineRisePerWindow = 1.002;
 const minSamples = 5;
 const maxJobBaselines = 500;
 
@@ -28,6 +30,15 @@
 /** Length of a window, in milliseconds. */
 const windowMs = 100;
 
+/** A window this near to the baseline confirms it. */
+const confirmingSlowdown = 1.1;
+
+/** Least windows without a confirmation after which a busy upstream is probed at half of the limit. */
+const probeAfterWindows = 100;
+
+/** The same in times that a call takes, so that probes cost little of the capacity. */
+const probeAfterCalls = 100;
+
 /** A baseline that falls this much at once tells that a slower spell of the upstream is over. */
 const fasterFactor = 1.3;
 
@@ -39,26 +50,32 @@
  * its square root while latency stays near the baseline and shrinks in proportion when it rises. When
  * shrinking does not bring latency down, the upstream itself has become slower, and what it shows now
  * is the new baseline. When it then becomes faster again, the limit is halved until latency falls no
- * further, since a baseline that was seen in a queue is too high. The limit stays between 1 and the connection limit.
+ * further, since a baseline that was seen in a queue is too high. A busy upstream whose baseline no
+ * window has come near for long is probed: the limit is halved until latency falls no further,
+ * and what is left is the new baseline. The limit stays between 1 and the connection limit.
  *
  * @example
- * limit.sample('PAY', 12);
+ * limit.sample('PAY', {ownMs: 12, heldMs: 40});
  * limit.closeWindow(maxInFlight);
  */
 export class ConcurrencyLimit {
 	/** Creates a limit that starts low, since a new upstream may be cold. */
 	static create({slotsHint, maxLimit}: Opts): ConcurrencyLimit {
 		const most = Math.max(minLimit, maxLimit);
-		const first = Math.max(minFirstLimit, Math.ceil(slotsHint * coldStartShare));
+		const hinted = Math.ceil(slotsHint * coldStartShare);
+		const first = Math.min(maxFirstLimit, Math.max(minFirstLimit, hinted));
 		return new ConcurrencyLimit(Math.min(first, most), most);
 	}
 
 	private isStarting = true;
 	private trial: {readonly limit: number; readonly slowdown: number} | undefined;
-	private average = 0;
+	private heldMs = 0;
 	/** Windows until the last change of the limit shows in latencies. */
 	private hold = 0;
 	private isRebased = false;
+	private unconfirmedWindows = 0;
+	/** The limit to go back to after a probe. */
+	private limitBeforeProbe: number | undefined;
 	private fastest = 1;
 	private readonly baselines = new Map<string, number>();
 	private readonly window = new Map<string, {sumMs: number; count: number}>();
@@ -83,15 +100,13 @@
 		return this.baselines.get(job);
 	}
 
-	/** Smoothed time that the upstream takes for a call now, in milliseconds. */
-	get averageMs(): number {
-		return this.average;
-	}
-
-	/** Takes in the upstream's own time on one call, downstream calls left out. */
-	sample(job: string, ownMs: number): void {
+	/**
+	 * Takes in the upstream's own time on one call, downstream calls left out, and how long the call
+	 * held its place in all.
+	 */
+	sample(job: string, {ownMs, heldMs}: {readonly ownMs: number; readonly heldMs: number}): void {
 		const sum = this.window.get(job) ?? {sumMs: 0, count: 0};
-		this.average = this.average === 0 ? ownMs : this.average + (ownMs - this.average) * averageGain;
+		this.heldMs = this.heldMs === 0 ? heldMs : this.heldMs + (heldMs - this.heldMs) * averageGain;
 		sum.sumMs += Math.max(0.05, ownMs);
 		sum.count++;
 		this.window.set(job, sum);
@@ -99,6 +114,7 @@
 
 	/** Ends a window in which at most `peakInFlight` calls ran at once. */
 	closeWindow(peakInFlight: number): void {
+		this.unconfirmedWindows++;
 		if (this.hold > 0) {
 			// Calls that end now were started under an earlier limit.
 			this.hold--;
@@ -111,12 +127,25 @@
 			return;
 		}
 
-		this.hold = Math.floor(this.average / windowMs);
+		this.hold = Math.floor(this.heldMs / windowMs);
+
+		if (this.limitBeforeProbe !== undefined) {
+			this.judgeProbe(slowdown, this.limitBeforeProbe);
+			return;
+		}
 
 		const gradient = Math.max(minGradient, Math.min(1, tolerance / slowdown));
 		this.judgeTrial(slowdown, gradient);
 		if (this.isRebased && this.fastest > fasterFactor) {
-			this.limit = Math.max(Math.min(minFirstLimit, this.limit), this.limit / 2);
+			this.halve();
+			return;
+		}
+
+		if (slowdown < confirmingSlowdown) {
+			this.unconfirmedWindows = 0;
+		} else if (this.isProbeDue && peakInFlight >= this.limit / 2) {
+			this.limitBeforeProbe = this.limit;
+			this.halve();
 			return;
 		}
 
@@ -134,6 +163,36 @@
 		this.limit = Math.min(this.maxLimit, Math.max(minLimit, next));
 	}
 
+	private get isProbeDue(): boolean {
+		const callWindows = this.heldMs / windowMs;
+		return this.unconfirmedWindows >= Math.max(probeAfterWindows, callWindows * probeAfterCalls);
+	}
+
+	/** Goes on while latency falls with the limit; what it ends at is the baseline. */
+	private judgeProbe(slowdown: number, limitBefore: number): void {
+		const before = this.limit;
+		if (this.fastest > confirmingSlowdown) {
+			this.halve();
+		}
+
+		if (this.limit === before) {
+			this.rebase(slowdown);
+			this.limit = limitBefore;
+			this.limitBeforeProbe = undefined;
+			this.unconfirmedWindows = 0;
+		}
+	}
+
+	private halve(): void {
+		this.limit = Math.max(Math.min(minFirstLimit, this.limit), this.limit / 2);
+	}
+
+	private rebase(slowdown: number): void {
+		for (const [job, baselineMs] of this.baselines) {
+			this.baselines.set(job, baselineMs * slowdown);
+		}
+	}
+
 	/** Rebases the jobs when a smaller limit has not made the upstream faster. */
 	private judgeTrial(slowdown: number, gradient: number): void {
 		if (gradient === 1) {
@@ -147,10 +206,7 @@
 		}
 
 		if (slowdown >= this.trial.slowdown * trialRemains) {
-			for (const [job, baselineMs] of this.baselines) {
-				this.baselines.set(job, baselineMs * slowdown);
-			}
-
+			this.rebase(slowdown);
 			this.isRebased = true;
 		}
 
@@ -169,7 +225,7 @@
 				continue;
 			}
 
-			const baselineMs = Math.min(averageMs, (known ?? averageMs) * baselineRisePerWindow);
+			const baselineMs = Math.min(averageMs, known ?? averageMs);
 			this.baselines.set(job, baselineMs);
 			this.fastest = Math.max(this.fastest, (known ?? averageMs) / averageMs);
 			weighted += (sum.count * averageMs) / baselineMs;
--- a/packages/control/src/rank-queue.ts
+++ b/packages/control/src/rank-queue.ts
@@ -16,20 +16,24 @@
 
 const shareHalfLifeMs = 500;
 
+/** Share of its allowed wait that the oldest call has spent when the newest goes first. */
+const newestFirstShare = 0.75;
+
 /**
  * Waiting calls by rank. The most urgent rank goes first, save that a rank which has had less than
  * its floor of the recent grants goes before it. Inside a rank, calls of requests that others have
- * worked for already go before those at the entry. Among these the order is first come, first served, until the oldest has waited beyond the target; then the newest goes first, since it still
- * has time to finish.
+ * worked for already go before those at the entry. Among these the order is first come, first
+ * served, until the oldest has waited for most of its time; then the newest goes first, since it
+ * still has time to finish.
  *
  * @example
  * queue.push(waiter);
  * queue.next(clock.monotonic())?.grant();
  */
 export class RankQueue {
-	/** Creates an empty queue. A wait beyond `targetMs` counts as standing. */
-	static create(floors: readonly number[], targetMs: number): RankQueue {
-		return new RankQueue(floors, targetMs);
+	/** Creates an empty queue. */
+	static create(floors: readonly number[]): RankQueue {
+		return new RankQueue(floors);
 	}
 
 	/** Two lines for each rank: calls of started requests, then those at the entry. */
@@ -38,10 +42,7 @@
 	private decayedMs = 0;
 	private count = 0;
 
-	private constructor(
-		private floors: readonly number[],
-		private readonly targetMs: number,
-	) {
+	private constructor(private floors: readonly number[]) {
 		this.lines = emptyLines(floors.length);
 		this.served = floors.map(() => 0);
 	}
@@ -121,8 +122,9 @@
 
 		const started = this.lines[rank * 2]!;
 		const waiting = started.length > 0 ? started : this.lines[rank * 2 + 1]!;
-		const stands = nowMs - waiting[0]!.enqueuedMs > this.targetMs;
-		const waiter = stands ? waiting.pop()! : waiting.shift()!;
+		const {enqueuedMs, expiresMs} = waiting[0]!;
+		const isLate = nowMs - enqueuedMs > (expiresMs - enqueuedMs) * newestFirstShare;
+		const waiter = isLate ? waiting.pop()! : waiting.shift()!;
 		this.count--;
 		this.served[rank]!++;
 		return waiter;
--- a/packages/node/src/upstream/in-flight-call.ts
+++ b/packages/node/src/upstream/in-flight-call.ts
@@ -48,7 +48,12 @@
 
 	/** Time the upstream itself has spent so far, its own calls left out, in milliseconds. */
 	get ownMs(): number {
-		return this.clock.monotonic() - this.startMs - this.childMs;
+		return this.heldMs - this.childMs;
+	}
+
+	/** Time since it was started, in milliseconds. */
+	get heldMs(): number {
+		return this.clock.monotonic() - this.startMs;
 	}
 
 	/** Notes that the upstream made a call of its own. */
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -206,15 +206,15 @@
 
 		const {admission} = serving;
 		const deadlineMs = this.opts.clock.monotonic() + request.remainingMs;
-		const {rank, cohort, depth} = request;
-		const permit = await admission.enter({rank, cohort, depth, deadlineMs, signal});
+		const {job, rank, cohort, depth} = request;
+		const permit = await admission.enter({job, rank, cohort, depth, deadlineMs, signal});
 		if (permit.isErr()) {
 			return this.refuse(request, permit.error);
 		}
 
 		// Another suspect may have started while this one waited.
 		if (suspicion.isSuspect && this.suspectRunning) {
-			admission.leave(request.job, undefined);
+			admission.leave(request.job);
 			return this.refuse(request, slotFaults.suspectBusy);
 		}
 
@@ -308,11 +308,11 @@
 		pool.giveBack(connection);
 		if (answer.isOk()) {
 			this.silence.noteEnded(call);
-			admission.leave(request.job, call.ownMs);
+			admission.leave(request.job, {ownMs: call.ownMs, heldMs: call.heldMs});
 			return this.outcome(admission, call, answer.value);
 		}
 
-		admission.leave(request.job, undefined);
+		admission.leave(request.job);
 		const {fault, mayHaveRun, wasClosed} = answer.error;
 		if (wasClosed) {
 			this.crashes.noteLost(request);
