Make the roll-up cheap enough for the planned size

Cause: measured at the planned size (938 nodes, 550 services, every call a root request), a node sent 9,078 bytes a second and a collector would have needed 3.1 cores: each row had a histogram of its own to inflate, and every batch was merged into, and trimmed, the whole history.

Ruled out: a longer period alone (rows saturate at 1,100; halves the cost at most) and a tree of collectors (another period of delay, and not needed).

Change: latencies are kept in buckets that grow by a tenth, as plain numbers; the histogram library works out percentiles when a report is built. Batches are kept as they come and merged at once. Sixteen shares of the services in place of four. MessagePack records, so that names of fields stand once in a message. full-size measures it, and the capacity tables carry it.

--- a/packages/node/src/report/collector.ts
+++ b/packages/node/src/report/collector.ts
@@ -21,7 +21,8 @@
 };
 
 type Pending = {
-	history: History;
+	/** Batches that were not written yet, merged once they are many. */
+	batches: History[];
 	/** A write whose answer has not come, with what it holds. */
 	open?: {readonly id: string; readonly history: History};
 	/** What the store held after this process's latest write. */
@@ -29,6 +30,7 @@
 };
 
 const maxSenders = 4000;
+const maxBatches = 256;
 
 /**
  * Collects what the nodes of a data centre counted, for some of its services, and writes it to the
@@ -67,13 +69,16 @@
 		}
 
 		const pending = this.pendingOf(shard);
-		pending.history = pending.history.merge(history, this.opts.clock.now());
+		pending.batches.push(history);
+		if (pending.batches.length >= maxBatches) {
+			pending.batches = [History.empty.merge(...pending.batches)];
+		}
 	}
 
 	/** Whether counts of a shard wait to be written. */
 	holds(shard: number): boolean {
 		const pending = this.pending.get(shard);
-		return pending !== undefined && (!pending.history.isEmpty || pending.open !== undefined);
+		return pending !== undefined && (pending.batches.length > 0 || pending.open !== undefined);
 	}
 
 	/** Takes back what was not written, to hand it to another collector. */
@@ -81,7 +86,7 @@
 		const pending = this.pendingOf(shard);
 		this.pending.delete(shard);
 		// An open write may have taken effect; to send its counts again could count them twice.
-		return pending.history;
+		return History.empty.merge(...pending.batches);
 	}
 
 	/** Writes what waits, or at least the time; resolves with whether nothing is left to write. */
@@ -106,8 +111,9 @@
 		}
 
 		if (!pending.open) {
-			pending.open = {id: `${issuer}/${this.writeCount++}`, history: pending.history};
-			pending.history = History.empty;
+			const history = History.empty.merge(...pending.batches);
+			pending.open = {id: `${issuer}/${this.writeCount++}`, history};
+			pending.batches = [];
 		}
 
 		const {known, open} = pending;
@@ -116,7 +122,7 @@
 		if (put.isOk()) {
 			pending.open = undefined;
 			pending.known = {version: put.value, value};
-			return pending.history.isEmpty;
+			return pending.batches.length === 0;
 		}
 
 		pending.known = undefined;
@@ -157,7 +163,7 @@
 			return known;
 		}
 
-		const fresh: Pending = {history: History.empty};
+		const fresh: Pending = {batches: []};
 		this.pending.set(shard, fresh);
 		return fresh;
 	}
--- a/packages/node/src/report/roll-up.ts
+++ b/packages/node/src/report/roll-up.ts
@@ -140,7 +140,7 @@
 	private cut(): void {
 		const {tally, clock} = this.opts;
 		const counted = tally.take(clock.now());
-		this.ownHistory = this.ownHistory.merge(counted, clock.now());
+		this.ownHistory = this.ownHistory.merge(counted).trim(clock.now());
 		for (const shard of shards.all) {
 			this.add(
 				shard,
--- a/packages/node/src/report/rolled-up.ts
+++ b/packages/node/src/report/rolled-up.ts
@@ -43,7 +43,7 @@
 		return new RolledUp(
 			nowMs,
 			[writeId, ...this.writes].slice(0, keptWrites),
-			this.history.merge(more, nowMs),
+			this.history.merge(more).trim(nowMs),
 		);
 	}
 
--- a/packages/node/src/report/shards.ts
+++ b/packages/node/src/report/shards.ts
@@ -1,6 +1,6 @@
 import {hash32} from '@medlarsaddle/core';
 
-const shardCount = 4;
+const shardCount = 16;
 
 /**
  * How the counts of a data centre are divided among store objects, by service, so that none grows
--- a/packages/report/src/burn.ts
+++ b/packages/report/src/burn.ts
@@ -77,11 +77,8 @@
 	);
 	const counts = sums.at(-1)!;
 	const spent = burnRate(counts.get(outcomeClasses.good), counts.total, objective.goodShare);
-	const latencies = Latencies.create();
-	for (const [, text] of rows.flatMap(row => row.latencies)) {
-		latencies.merge(Latencies.of(text));
-	}
-
+	const latencies = rows.flatMap(row => row.latencies.flatMap(([, values]) => values));
+	const [p50Ms, p99Ms] = Latencies.of(latencies).percentiles(50, 99);
 	return {
 		service,
 		rank,
@@ -92,8 +89,8 @@
 		budgetLeft: 1 - spent,
 		spentInMs: spentIn(1 - spent, rates[hourWindow]!),
 		causes: causesOf(rows, nowMs),
-		p50Ms: latencies.percentile(50),
-		p99Ms: latencies.percentile(99),
+		p50Ms: p50Ms!,
+		p99Ms: p99Ms!,
 		points: pointsOf(rows),
 	};
 };
--- a/packages/report/src/history.ts
+++ b/packages/report/src/history.ts
@@ -16,8 +16,8 @@
 	readonly causes: ReadonlyArray<
 		readonly [index: number, causes: ReadonlyArray<readonly [string, number]>]
 	>;
-	/** Latencies by hour, this one and the one before, as `Latencies` writes them. */
-	readonly latencies: ReadonlyArray<readonly [index: number, text: string]>;
+	/** Latencies by hour, this one and the one before, as the values of `Latencies`. */
+	readonly latencies: ReadonlyArray<readonly [index: number, values: readonly number[]]>;
 };
 
 type Counted = {
@@ -38,51 +38,61 @@
  * merging makes a new one.
  *
  * @example
- * const history = History.of(stored).merge(History.of(received), clock.now());
+ * const history = History.of(stored).merge(History.of(received)).trim(clock.now());
  */
 export class History {
 	/** A history without rows. */
-	static readonly empty = new History([]);
+	static readonly empty = new History(new Map());
 
 	/** Reads rows that were stored or received; those that are malformed are left out. */
 	static of(rows: unknown): History {
-		return new History(Array.isArray(rows) ? (rows as Row[]).filter(row => isRow(row)) : []);
+		const valid = Array.isArray(rows) ? (rows as Row[]).filter(row => isRow(row)) : [];
+		return new History(new Map(valid.map(row => [keyOf(row), cleaned(row)])));
 	}
 
 	/** The history of what was counted just now. */
 	static from(counted: readonly Counted[], nowMs: number): History {
-		return new History(counted.map(row => rowOf(row, nowMs)));
+		return new History(new Map(counted.map(row => [keyOf(row), rowOf(row, nowMs)])));
 	}
 
-	private constructor(readonly rows: readonly Row[]) {}
+	private constructor(private readonly byKey: ReadonlyMap<string, Row>) {}
+
+	/** The rows as plain data. */
+	get rows(): readonly Row[] {
+		return [...this.byKey.values()];
+	}
 
 	/** Whether nothing was counted. */
 	get isEmpty(): boolean {
-		return this.rows.length === 0;
+		return this.byKey.size === 0;
 	}
 
-	/** Both together, without what is too old at `nowMs`. */
-	merge(other: History, nowMs: number): History {
-		const rows = new Map(this.rows.map(row => [keyOf(row), row]));
-		for (const row of other.rows) {
-			const known = rows.get(keyOf(row));
-			if (known !== undefined) {
-				rows.set(keyOf(row), merged(known, row));
-			} else if (rows.size < maxRows) {
-				rows.set(keyOf(row), row);
+	/** All together. Many are merged at once at far less cost than one after another. */
+	merge(...others: readonly History[]): History {
+		const byKey = new Map<string, Row[]>();
+		for (const {byKey: rows} of [this, ...others]) {
+			for (const [key, row] of rows) {
+				const same = byKey.get(key);
+				if (same) {
+					same.push(row);
+				} else if (byKey.size < maxRows) {
+					byKey.set(key, [row]);
+				}
 			}
 		}
 
-		return new History(
-			[...rows.values()]
-				.map(row => trimmed(row, nowMs))
-				.filter(({buckets}) => buckets.hours.length > 0),
-		);
+		return new History(new Map([...byKey].map(([key, rows]) => [key, merged(rows)])));
+	}
+
+	/** Without what is too old at `nowMs`. */
+	trim(nowMs: number): History {
+		const rows = [...this.byKey].map(([key, row]) => [key, trimmed(row, nowMs)] as const);
+		return new History(new Map(rows.filter(([, {buckets}]) => buckets.hours.length > 0)));
 	}
 
 	/** The rows of services that `isWanted`. */
 	filter(isWanted: (service: string) => boolean): History {
-		return new History(this.rows.filter(({service}) => isWanted(service)));
+		return new History(new Map([...this.byKey].filter(([, {service}]) => isWanted(service))));
 	}
 }
 
@@ -93,23 +103,36 @@
 	rank,
 	buckets: byLevel(name => [[indexAt(name, nowMs), ...counts.values]]),
 	causes: causes.length === 0 ? [] : [[indexAt('tens', nowMs), causes]],
-	latencies: latencies.isEmpty ? [] : [[indexAt('hours', nowMs), latencies.text]],
+	latencies: latencies.isEmpty ? [] : [[indexAt('hours', nowMs), latencies.values]],
 });
 
-const merged = (a: Row, b: Row): Row => ({
-	...a,
-	buckets: byLevel(name => mergedBuckets([...a.buckets[name], ...b.buckets[name]])),
-	causes: mergedCauses([...a.causes, ...b.causes]),
-	latencies: mergedLatencies([...a.latencies, ...b.latencies]),
-});
+const merged = (rows: readonly Row[]): Row => {
+	const [first] = rows;
+	return rows.length === 1
+		? first!
+		: {
+				...first!,
+				buckets: byLevel(name => mergedBuckets(rows.map(({buckets}) => buckets[name]))),
+				causes: mergedCauses(rows.flatMap(({causes}) => causes)),
+				latencies: mergedLatencies(rows.flatMap(({latencies}) => latencies)),
+			};
+};
 
-const mergedBuckets = (buckets: readonly Bucket[]): Bucket[] => {
-	const sums = new Map<number, Counts>();
-	for (const [index, ...values] of buckets) {
-		sums.set(index, (sums.get(index) ?? Counts.none).plus(Counts.of(values)));
+const mergedBuckets = (lists: ReadonlyArray<readonly Bucket[]>): Bucket[] => {
+	const sums = new Map<number, number[]>();
+	for (const bucket of lists.flat()) {
+		const sum = sums.get(bucket[0]);
+		if (!sum) {
+			sums.set(bucket[0], [...bucket]);
+			continue;
+		}
+
+		for (let at = 1; at < bucket.length; at++) {
+			sum[at] = (sum[at] ?? 0) + bucket[at]!;
+		}
 	}
 
-	return [...sums].map(([index, {values}]) => [index, ...values]);
+	return [...sums.values()] as unknown as Bucket[];
 };
 
 const mergedCauses = (causes: Row['causes']): Row['causes'] => {
@@ -124,14 +147,17 @@
 };
 
 const mergedLatencies = (latencies: Row['latencies']): Row['latencies'] => {
-	const sums = new Map<number, Latencies>();
-	for (const [index, text] of latencies) {
-		const sum = sums.get(index) ?? Latencies.create();
-		sum.merge(Latencies.of(text));
-		sums.set(index, sum);
+	const sums = new Map<number, number[]>();
+	for (const [index, values] of latencies) {
+		const sum = sums.get(index);
+		if (sum) {
+			sum.push(...values);
+		} else {
+			sums.set(index, [...values]);
+		}
 	}
 
-	return [...sums].map(([index, sum]) => [index, sum.text]);
+	return [...sums].map(([index, values]) => [index, Latencies.of(values).values]);
 };
 
 const trimmed = (row: Row, nowMs: number): Row => {
@@ -154,6 +180,15 @@
 const indexAt = (name: LevelName, nowMs: number): number =>
 	Math.floor(nowMs / levels[name].bucketMs);
 
+/** Puts 0 for whatever is not a count. */
+const cleaned = (row: Row): Row => ({
+	...row,
+	buckets: byLevel(name =>
+		row.buckets[name].map(([index, ...values]) => [index, ...Counts.of(values).values]),
+	),
+	latencies: row.latencies.map(([index, values]) => [index, Latencies.of(values).values]),
+});
+
 const isRow = (row: Row | undefined): boolean =>
 	typeof row?.service === 'string' &&
 	typeof row.rank === 'string' &&
--- a/packages/report/src/latencies.ts
+++ b/packages/report/src/latencies.ts
@@ -1,70 +1,86 @@
 import * as hdr from 'hdr-histogram-js';
 
+const minMs = 1;
 const maxMs = 600_000;
-const digits = 2;
+
+/** Width of a bucket: a percentile is off by half of that share at most. */
+const growth = 1.1;
+const digits = 3;
 
 /**
- * Latencies of requests, in milliseconds, that merge without loss.
+ * Latencies of requests in buckets that grow by a tenth, as plain data that any codec carries: the
+ * place of a bucket, then its count, for each bucket that is not empty. A value; adding makes a new
+ * one. Merging loses nothing.
  *
  * @example
- * const latencies = Latencies.create();
- * latencies.add(12);
- * latencies.percentile(99); // 12
+ * Latencies.none.with(12).plus(other).percentiles(50, 99); // [12, 12]
  */
 export class Latencies {
-	/** Creates an empty set. */
-	static create(): Latencies {
-		return new Latencies(emptyHistogram());
-	}
+	/** No latency at all. */
+	static readonly none = new Latencies(new Map());
 
-	/** Reads what `text` returned; anything else counts as empty. */
-	static of(text: unknown): Latencies {
-		if (typeof text !== 'string' || text === '') {
-			return Latencies.create();
+	/** Reads what `values` gave; anything else counts as empty. */
+	static of(values: unknown): Latencies {
+		const counts = new Map<number, number>();
+		if (Array.isArray(values)) {
+			for (let at = 0; at + 1 < values.length; at += 2) {
+				const [place, count] = [values[at] as unknown, values[at + 1] as unknown];
+				if (isCount(place) && isCount(count) && place <= lastPlace) {
+					counts.set(place, (counts.get(place) ?? 0) + count);
+				}
+			}
 		}
 
-		try {
-			return new Latencies(hdr.decodeFromCompressedBase64(text, 32, false));
-		} catch {
-			return Latencies.create();
-		}
+		return new Latencies(counts);
 	}
 
-	private constructor(private readonly histogram: hdr.Histogram) {}
+	private constructor(private readonly counts: ReadonlyMap<number, number>) {}
 
 	/** Whether nothing was added. */
 	get isEmpty(): boolean {
-		return this.histogram.totalCount === 0;
+		return this.counts.size === 0;
 	}
 
-	/** The whole set as text; empty when nothing was added. */
-	get text(): string {
-		return this.isEmpty ? '' : hdr.encodeIntoCompressedBase64(this.histogram);
+	/** Places and counts in turn. */
+	get values(): readonly number[] {
+		return [...this.counts].flat();
 	}
 
-	/** Adds one latency. */
-	add(ms: number): void {
-		this.histogram.recordValue(Math.min(maxMs, Math.max(1, Math.round(ms))));
+	/** One more latency, in milliseconds. */
+	with(ms: number): Latencies {
+		const place = placeOf(ms);
+		return new Latencies(new Map(this.counts).set(place, (this.counts.get(place) ?? 0) + 1));
 	}
 
-	/** Adds all of another set. */
-	merge(other: Latencies): void {
-		if (!other.isEmpty) {
-			this.histogram.add(other.histogram);
+	/** Both together. */
+	plus(other: Latencies): Latencies {
+		const counts = new Map(this.counts);
+		for (const [place, count] of other.counts) {
+			counts.set(place, (counts.get(place) ?? 0) + count);
 		}
+
+		return new Latencies(counts);
 	}
 
-	/** The latency that `share` in 100 do not exceed, in milliseconds; 0 when empty. */
-	percentile(share: number): number {
-		return this.isEmpty ? 0 : this.histogram.getValueAtPercentile(share);
+	/** The latencies that each of `shares` in 100 do not exceed, in milliseconds; 0 when empty. */
+	percentiles(...shares: readonly number[]): number[] {
+		const histogram = hdr.build({
+			highestTrackableValue: maxMs * growth,
+			numberOfSignificantValueDigits: digits,
+			useWebAssembly: false,
+		});
+		for (const [place, count] of this.counts) {
+			histogram.recordValueWithCount(Math.round(minMs * growth ** place), count);
+		}
+
+		return shares.map(share => (this.isEmpty ? 0 : histogram.getValueAtPercentile(share)));
 	}
 }
 
-const emptyHistogram = (): hdr.Histogram =>
-	hdr.build({
-		lowestDiscernibleValue: 1,
-		highestTrackableValue: maxMs,
-		numberOfSignificantValueDigits: digits,
-		bitBucketSize: 32,
-		useWebAssembly: false,
-	});
+const placeOf = (ms: number): number =>
+	Math.round(Math.log(Math.min(maxMs, Math.max(minMs, ms)) / minMs) / Math.log(growth));
+
+const lastPlace = placeOf(maxMs);
+
+const isCount = (value: unknown): value is number =>
+	Number.isSafeInteger(value) && (value as number) >= 0;
--- a/packages/report/src/tally.ts
+++ b/packages/report/src/tally.ts
@@ -19,7 +19,7 @@
 	readonly rank: string;
 	counts: Counts;
 	readonly causes: Map<string, number>;
-	readonly latencies: Latencies;
+	latencies: Latencies;
 };
 
 const maxRows = 2000;
@@ -50,7 +50,7 @@
 				return;
 			}
 
-			row = {service, rank, counts: Counts.none, causes: new Map(), latencies: Latencies.create()};
+			row = {service, rank, counts: Counts.none, causes: new Map(), latencies: Latencies.none};
 			this.rows.set(key, row);
 		}
 
@@ -60,7 +60,7 @@
 		}
 
 		if (elapsedMs !== undefined) {
-			row.latencies.add(elapsedMs);
+			row.latencies = row.latencies.with(elapsedMs);
 		}
 	}
 
--- a/packages/report/test/history.test.ts
+++ b/packages/report/test/history.test.ts
@@ -53,7 +53,7 @@
 				const merge = (some: readonly History[]) => {
 					let sum = History.empty;
 					for (const part of some) {
-						sum = sum.merge(part, nowMs);
+						sum = sum.merge(part);
 					}
 
 					return sum;
@@ -81,7 +81,8 @@
 test('a history stays bounded over a month, and what it forgets is older than three days', () => {
 	let history = History.empty;
 	for (let hour = 0; hour < 24 * 30; hour++) {
-		history = history.merge(tallied(good(2), startMs + hour * hourMs), startMs + hour * hourMs);
+		const nowMs = startMs + hour * hourMs;
+		history = history.merge(tallied(good(2), nowMs)).trim(nowMs);
 	}
 
 	const nowMs = startMs + (24 * 30 - 1) * hourMs;
@@ -93,13 +94,13 @@
 test('a burst of refusals is a fast alert that names its cause, and ends soon after', () => {
 	const before = tallied(good(10_000), startMs - 5 * hourMs);
 	const burst = tallied([...good(100), ...bad(400), ...bad(10, 'status 500')], startMs);
-	const history = before.merge(burst, startMs);
+	const history = before.merge(burst);
 	const [row] = burn([history], objective, startMs + 1000);
 	assert.equal(row!.alert, alerts.fast);
 	assert.deepEqual(row!.causes[0], ['overloaded at pitch-map', 400]);
 	assert.ok(row!.spentInMs !== undefined);
 	const laterMs = startMs + 10 * minuteMs;
-	const [later] = burn([history.merge(tallied(good(500), laterMs), laterMs)], objective, laterMs);
+	const [later] = burn([history.merge(tallied(good(500), laterMs))], objective, laterMs);
 	assert.equal(later!.rates[0], 0);
 	assert.notEqual(later!.alert, alerts.none);
 });
@@ -137,7 +138,7 @@
 
 for (const [name, rows] of malformed) {
 	test(`stored rows that are malformed are left out: ${name}`, () => {
-		const history = History.of(rows).merge(tallied(good(1), startMs), startMs);
+		const history = History.of(rows).merge(tallied(good(1), startMs));
 		assert.equal(burn([history], objective, startMs)[0]!.counts.total, 1);
 	});
 }
@@ -150,7 +151,7 @@
 		causes: [],
 		latencies: [[Math.floor(startMs / hourMs), 'not a histogram']],
 	};
-	const history = History.of([row]).merge(tallied(good(1), startMs), startMs);
+	const history = History.of([row]).merge(tallied(good(1), startMs));
 	const [found] = burn([history], objective, startMs);
 	assert.equal(found!.counts.total, 1);
 	assert.equal(found!.p50Ms, 10);
--- a/packages/testbed/src/bench/full-size.ts
+++ b/packages/testbed/src/bench/full-size.ts
@@ -1,5 +1,6 @@
 import {GossipNetwork} from '../harness/gossip-network.js';
 import type {Scenario} from './scenario.js';
+import {reportSize} from './report-size.js';
 import {stateSize} from './state-size.js';
 
 const members = 938;
@@ -14,6 +15,11 @@
 const rackTo = 120;
 const maxSpreadMs = 4000;
 const maxBytesPerSecond = 6 * 1024;
+/** Calls a second that a node takes in at the plan, and calls of a request at half of the depth. */
+const callsPerSecond = 75;
+const halfDepth = 7;
+const maxCoreShare = 0.012;
+const maxObjectBytes = 1024 * 1024;
 const maxStateMb = 64;
 
 /** One data centre of the planned size: protocol traffic on a manual clock, and state in memory. */
@@ -36,6 +42,8 @@
 		const spreadMs = await spreadChanges(network);
 		const failMs = await failRack(network);
 		const state = stateSize();
+		const reportAtMost = reportSize(seed, callsPerSecond);
+		const reportAtHalfDepth = reportSize(seed, Math.round(callsPerSecond / halfDepth));
 		return {
 			figures: {
 				members,
@@ -43,10 +51,16 @@
 				slowestChangeMs: Math.max(...spreadMs),
 				rackGoneEverywhereMs: failMs,
 				stateMb: state,
+				reportAtMost,
+				reportAtHalfDepth,
 			},
 			bounds: {
 				'every member knows all': isConverged,
-				'control <= 6144 B/s': quiet.bytesPerSecond <= maxBytesPerSecond,
+				'control and report <= 6144 B/s':
+					quiet.bytesPerSecond + reportAtMost.bytesPerSecond <= maxBytesPerSecond,
+				'report collector <= 1.2% of a core at half of the depth':
+					reportAtHalfDepth.collectorCoreShare <= maxCoreShare,
+				'report object <= 1 MB': reportAtMost.objectBytes <= maxObjectBytes,
 				'change at every member <= 4 s': Math.max(...spreadMs) <= maxSpreadMs,
 				'control state <= 64 MB':
 					Object.values(state).reduce((sum, mb) => sum + mb, 0) <= maxStateMb,
--- a/packages/testbed/src/capacity/capacity-tables.ts
+++ b/packages/testbed/src/capacity/capacity-tables.ts
@@ -13,12 +13,19 @@
 	messagesPerChangeAndNode: z.number(),
 });
 const spreadFigures = z.object({nodes20: spreadSize, nodes60: spreadSize, nodes180: spreadSize});
+const reportSize = z.object({
+	bytesPerSecond: z.number(),
+	collectorCoreShare: z.number(),
+	objectBytes: z.number(),
+});
 const fullFigures = z.object({
 	members: z.number(),
 	quiet: z.object({bytesPerSecond: z.number(), messagesPerSecond: z.number()}),
 	slowestChangeMs: z.number(),
 	rackGoneEverywhereMs: z.number(),
 	stateMb: z.record(z.string(), z.number()),
+	reportAtMost: reportSize,
+	reportAtHalfDepth: reportSize,
 });
 
 const secondsPerDay = 86_400;
@@ -26,6 +33,8 @@
 const shardsReadPerDataCentre = 16;
 const watchSeconds = 20;
 const retryPerSecond = 1;
+const reportShards = 16;
+const rollUpSeconds = 15;
 
 /**
  * Works out the tables of the capacity page from the results of `spread` and `full-size`.
@@ -36,7 +45,9 @@
 export const capacityTables = (results: ReadonlyMap<string, Record<string, unknown>>): string => {
 	const spread = spreadFigures.parse(results.get('spread'));
 	const full = fullFigures.parse(results.get('full-size'));
-	return [nodeTable(spread, full), stateTable(full), platformTable(spread)].join('\n\n');
+	return [nodeTable(spread, full), stateTable(full), reportTable(full), platformTable(spread)].join(
+		'\n\n',
+	);
 };
 
 const nodeTable = (
@@ -128,9 +139,34 @@
 	);
 };
 
+const reportTable = ({reportAtMost, reportAtHalfDepth}: z.infer<typeof fullFigures>): string => {
+	const both = [reportAtMost, reportAtHalfDepth];
+	return table(
+		['the report', 'every call a root request', 'seven calls to a request', 'how it is known'],
+		[
+			[
+				'bytes a second that a node sends to collectors',
+				...both.map(size => String(size.bytesPerSecond)),
+				'measured',
+			],
+			[
+				`share of a core of a report collector, of ${percent(plan.maxCoreShare)}`,
+				...both.map(size => percent(size.collectorCoreShare)),
+				'measured for 200 batches, computed for those of 938 nodes',
+			],
+			[
+				'largest store object, KB of 1024',
+				...both.map(size => (size.objectBytes / 1024).toFixed(0)),
+				'measured, three days of every row',
+			],
+		],
+	);
+};
+
 const platformTable = (spread: z.infer<typeof spreadFigures>): string => {
 	const watches = (shardsReadPerDataCentre * plan.dataCentres) / watchSeconds;
 	const changes = plan.changesPerDay / secondsPerDay;
+	const rollUps = (reportShards * plan.dataCentres) / rollUpSeconds;
 	// Each change wakes the readers of its shard and costs its writer a read.
 	const reads = watches + changes * (2 * plan.dataCentres + 1);
 	return table(
@@ -153,8 +189,8 @@
 			],
 			['reads at the plan', `${reads.toFixed(1)} of ${plan.platformReadsPerSecond}`, 'computed'],
 			[
-				'writes at the plan',
-				`${changes.toFixed(2)} of ${plan.platformWritesPerSecond}`,
+				'writes at the plan, changes and roll-ups',
+				`${(changes + rollUps).toFixed(2)} of ${plan.platformWritesPerSecond}`,
 				'computed, no retries',
 			],
 			[
--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -1,6 +1,6 @@
 import {Packr} from 'msgpackr';
 
-const packr = new Packr({useRecords: false});
+const packr = new Packr({useRecords: true});
 
 /**
  * Encodes and decodes messages and datagrams as MessagePack.
