Divide the files that had grown: admission, fleet

Cause: the admission held its faults and the counts of its interval, the fleet the programs, the policy and the start of each process.

Ruled out: dividing the admission between queue and limit; both decide on the same permit.

Change: Interval and admissionFaults of their own; programs, startNode, operate, putPolicy, scaled and Host of their own; `scaled` stood twice.

Conclusion: slot, gossip and the stand-in of an upstream are still long.

--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -1,9 +1,11 @@
-import {type Clock, Fault, faultKinds} from '@medlarsaddle/core';
+import type {Clock, Fault} from '@medlarsaddle/core';
 import {type Result, err, ok} from 'neverthrow';
+import {admissionFaults} from './admission-faults.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {CutoffControl} from './cutoff-control.js';
 import type {Cutoffs} from './cutoffs.js';
 import {HoldTimes} from './hold-times.js';
+import {Interval} from './interval.js';
 import {RankQueue} from './rank-queue.js';
 
 type Opts = {
@@ -69,13 +71,8 @@
 	private readonly limit: ConcurrencyLimit;
 	private readonly control: CutoffControl;
 	private readonly queue: RankQueue;
-	private arrivals: number[] = [];
-	private completions = 0;
-	/** Most urgent rank of a call that was shed from the queue in this interval. */
-	private shedRank = Number.POSITIVE_INFINITY;
-	private windows = 0;
+	private interval = Interval.create();
 	private readonly holds = HoldTimes.create();
-	private leastWaitMs = Number.POSITIVE_INFINITY;
 	private running = 0;
 	private peak = 0;
 	private refusedCount = 0;
@@ -131,15 +128,15 @@
 		}
 
 		if (call.deadlineMs <= nowMs) {
-			return this.refuse(expired);
+			return this.refuse(admissionFaults.expired);
 		}
 
 		const cohort = call.depth > 0 ? call.cohort - startedSlack : call.cohort;
 		if (!this.control.cutoffs.admits(call.rank, cohort)) {
-			return this.refuse(overloaded);
+			return this.refuse(admissionFaults.overloaded);
 		}
 
-		this.arrivals[call.rank] = (this.arrivals[call.rank] ?? 0) + 1;
+		this.interval.arrived(call.rank);
 		if (this.running < this.limit.value && this.queue.size === 0) {
 			this.begin(call.rank, nowMs);
 			return ok(true);
@@ -155,7 +152,7 @@
 	leave(job: string, time?: {readonly ownMs: number; readonly heldMs: number}): void {
 		this.running--;
 		if (time) {
-			this.completions++;
+			this.interval.completions++;
 			this.limit.sample(job, time);
 			this.holds.note(job, time.heldMs);
 		}
@@ -175,8 +172,8 @@
 
 		this.limit.closeWindow(this.peak);
 		this.peak = this.running;
-		this.windows++;
-		if (this.windows >= Math.min(maxHeldWindows, this.holds.meanMs / windowMs)) {
+		this.interval.windows++;
+		if (this.interval.windows >= Math.min(maxHeldWindows, this.holds.meanMs / windowMs)) {
 			this.setCutoffs();
 		}
 
@@ -184,23 +181,18 @@
 	}
 
 	private setCutoffs(): void {
-		// A queue stands when not one call of the interval got through it quickly.
-		const standingMs = Math.max(minStandingMs, this.holds.meanMs * standingCalls);
-		const isStanding = this.leastWaitMs > standingMs && this.leastWaitMs < Number.POSITIVE_INFINITY;
+		const {interval, holds, control} = this;
+		const standingMs = Math.max(minStandingMs, holds.meanMs * standingCalls);
 		// Until the limit is known, completions say nothing about the capacity.
 		const isKnown = !this.limit.isRamping;
-		this.control.close({
-			windows: this.windows,
-			arrivals: this.arrivals,
-			completions: this.completions,
-			isStanding: isKnown && isStanding,
-			shedRank: isKnown ? this.shedRank : Number.POSITIVE_INFINITY,
+		control.close({
+			windows: interval.windows,
+			arrivals: interval.arrivals,
+			completions: interval.completions,
+			isStanding: isKnown && interval.isStanding(standingMs),
+			shedRank: isKnown ? interval.shedRank : Number.POSITIVE_INFINITY,
 		});
-		this.windows = 0;
-		this.arrivals = [];
-		this.completions = 0;
-		this.shedRank = Number.POSITIVE_INFINITY;
-		this.leastWaitMs = Number.POSITIVE_INFINITY;
+		this.interval = Interval.create();
 	}
 
 	private async wait(call: Call, nowMs: number): Promise<Result<true, Fault>> {
@@ -208,8 +200,8 @@
 		if (this.queue.size >= maxSize) {
 			const evicted = this.queue.evictBelow({rank: call.rank, isStarted: call.depth > 0});
 			if (!evicted) {
-				this.shedRank = Math.min(this.shedRank, call.rank);
-				return this.refuse(overloaded);
+				this.interval.shed(call.rank);
+				return this.refuse(admissionFaults.overloaded);
 			}
 
 			this.shed(evicted);
@@ -218,7 +210,7 @@
 		return new Promise(resolve => {
 			const stop = () => {
 				if (this.queue.remove(waiter)) {
-					resolve(this.refuse(cancelled));
+					resolve(this.refuse(admissionFaults.cancelled));
 				}
 			};
 
@@ -233,7 +225,7 @@
 				},
 				refuse: () => {
 					call.signal.removeEventListener('abort', stop);
-					resolve(this.refuse(overloaded));
+					resolve(this.refuse(admissionFaults.overloaded));
 				},
 			};
 			this.queue.push(waiter);
@@ -265,7 +257,7 @@
 				continue;
 			}
 
-			this.leastWaitMs = Math.min(this.leastWaitMs, nowMs - waiter.enqueuedMs);
+			this.interval.waited(nowMs - waiter.enqueuedMs);
 			this.running++;
 			this.peak = Math.max(this.peak, this.running);
 			waiter.grant();
@@ -273,12 +265,12 @@
 	}
 
 	private shed({rank, refuse}: {readonly rank: number; readonly refuse: () => void}): void {
-		this.shedRank = Math.min(this.shedRank, rank);
+		this.interval.shed(rank);
 		refuse();
 	}
 
 	private begin(rank: number, nowMs: number): void {
-		this.leastWaitMs = 0;
+		this.interval.waited(0);
 		this.running++;
 		this.peak = Math.max(this.peak, this.running);
 		this.queue.countServed(rank, nowMs);
@@ -289,19 +281,3 @@
 		return err(fault);
 	}
 }
-
-const expired = Fault.of(
-	faultKinds.deadline,
-	'The deadline passed before the call could start',
-	'Send it with a later deadline',
-);
-const overloaded = Fault.of(
-	faultKinds.overloaded,
-	'The service takes no more calls of this rank now',
-	'Send it again after the time that the answer names',
-);
-const cancelled = Fault.of(
-	faultKinds.cancelled,
-	'The caller gave up while the call waited',
-	'Nothing is left to do',
-);
--- a/packages/testbed/src/deploy/capacity.ts
+++ b/packages/testbed/src/deploy/capacity.ts
@@ -1,4 +1,5 @@
 import type {Deployment} from './deployment.js';
+import {scaled} from './scaled.js';
 
 /**
  * Requests a second that the slots of a deployment could carry with the given mix, each data centre
@@ -26,10 +27,7 @@
 
 	const limits = deployment.services.flatMap(({name, slots, endpoints}) => {
 		const used = usedMs.get(name);
-		return used === undefined ? [] : [(scaledSlots(slots, scale) * endpoints * 1000) / used];
+		return used === undefined ? [] : [(scaled(slots, scale) * endpoints * 1000) / used];
 	});
 	return Math.min(...limits);
 };
-
-const scaledSlots = (slots: number, scale: number): number =>
-	Math.max(1, Math.round(slots * scale));
--- a/packages/testbed/src/deploy/fleet.ts
+++ b/packages/testbed/src/deploy/fleet.ts
@@ -1,13 +1,15 @@
-import {execFile} from 'node:child_process';
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createRequire} from 'node:module';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {Operators} from '@medlarsaddle/client';
 import {type Clock, createSystemClock} from '@medlarsaddle/core';
 import {Agent, request} from 'undici';
 import {Child} from './child.js';
 import type {Deployment} from './deployment.js';
+import type {Host} from './host.js';
+import {operate} from './operate.js';
+import {programs} from './programs.js';
+import {putPolicy} from './put-policy.js';
+import {scaled} from './scaled.js';
+import {startNode} from './start-node.js';
 
 type Opts = {
 	readonly deployment: Deployment;
@@ -19,43 +21,13 @@
 	readonly clock?: Clock;
 };
 
-type Ports = {
-	readonly http: number;
-	readonly upstream: number;
-	readonly peer: number;
-	readonly operator: number;
-};
-
 type UpstreamReady = {
 	readonly control: string;
 	readonly direct: string;
 };
 
-/** One host of the fleet: a node and the upstream beside it. */
-type Host = {
-	readonly id: string;
-	readonly dataCentre: string;
-	readonly service: string;
-	node: Child;
-	ports: Ports;
-	upstream: Child;
-	control: string;
-	/** Base URL of the upstream itself. */
-	direct: string;
-	readonly slots: number;
-};
-
-const script = (name: string): string =>
-	fileURLToPath(new URL(`../bin/${name}.js`, import.meta.url));
-const daemon = createRequire(import.meta.url)
-	.resolve('@medlarsaddle/node')
-	.replace(/index\.js$/v, 'bin/medlarsaddled.js');
-const client = createRequire(import.meta.url)
-	.resolve('@medlarsaddle/client')
-	.replace(/index\.js$/v, 'bin/medlarsaddle.js');
 const settlePollMs = 50;
 const settleMs = 30_000;
-const defaultRollUpMs = 15_000;
 
 /**
  * A deployment as separate processes on loopback: the platform, a node on each host and the upstream
@@ -67,12 +39,12 @@
  */
 export class Fleet {
 	/** Script of the node's program. */
-	static readonly daemon = daemon;
+	static readonly daemon = programs.daemon;
 
 	/** Starts every process, puts the policy and waits until all know all. */
 	static async start(opts: Opts): Promise<Fleet> {
 		const platform = await Child.start({
-			script: script('platform'),
+			script: programs.platform,
 			args: [],
 			readyIn: line => line.ready,
 		});
@@ -80,7 +52,7 @@
 		const fleet = new Fleet(opts, platform, url);
 		await fleet.addHosts();
 		await fleet.settle();
-		await fleet.putPolicy();
+		await putPolicy(opts.deployment.policy, fleet.hosts);
 		return fleet;
 	}
 
@@ -144,7 +116,7 @@
 	async restartHost(host: Host): Promise<void> {
 		const node = await this.startNode(host.id, host.dataCentre);
 		host.node = node;
-		host.ports = node.ready as Ports;
+		host.ports = node.ready as Host['ports'];
 		await host.upstream.end();
 		host.upstream = await this.startUpstream(host.service, host.ports.upstream);
 		const {control, direct} = host.upstream.ready as UpstreamReady;
@@ -225,12 +197,7 @@
 
 	/** Runs the operators' client against a host; resolves with what it prints. */
 	async operate(host: Host, args: readonly string[]): Promise<{code: number; text: string}> {
-		return new Promise(resolve => {
-			const all = [client, ...args, '--node', `127.0.0.1:${host.ports.operator}`];
-			execFile(process.execPath, all, (error, stdout, stderr) => {
-				resolve({code: Number(error?.code ?? 0), text: stdout + stderr});
-			});
-		});
+		return operate(host, args);
 	}
 
 	private async addHosts(): Promise<void> {
@@ -253,7 +220,7 @@
 		readonly id: string;
 	}): Promise<void> {
 		const node = await this.startNode(place.id, place.dataCentre);
-		const ports = node.ready as Ports;
+		const ports = node.ready as Host['ports'];
 		const upstream = await this.startUpstream(place.service.name, ports.upstream);
 		const {control, direct} = upstream.ready as UpstreamReady;
 		this.hosts.push({
@@ -270,28 +237,11 @@
 	}
 
 	private async startNode(id: string, dataCentre: string): Promise<Child> {
-		const {rollUpMs = defaultRollUpMs} = this.opts;
+		const {admission, rollUpMs} = this.opts;
 		const seeds = this.hosts
 			.filter(host => host.node.isRunning && host.id !== id)
 			.map(({ports}) => `127.0.0.1:${ports.peer}`);
-		const settings = {
-			'node-id': id,
-			'data-centre': dataCentre,
-			'http-port': '0',
-			'upstream-port': '0',
-			'peer-port': '0',
-			'operator-port': '0',
-			seeds: seeds.slice(0, 6).join(','),
-			'store-url': this.storeUrl,
-			admission: this.opts.admission ?? 'on',
-			'stop-seconds': '10',
-			'roll-up-ms': String(rollUpMs),
-		};
-		return Child.start({
-			script: daemon,
-			args: Object.entries(settings).flatMap(([flag, value]) => [`--${flag}`, value]),
-			readyIn: line => line.ports,
-		});
+		return startNode({id, dataCentre, seeds, storeUrl: this.storeUrl, admission, rollUpMs});
 	}
 
 	private async startUpstream(name: string, nodePort: number): Promise<Child> {
@@ -307,38 +257,12 @@
 			coldRequests,
 		};
 		return Child.start({
-			script: script('upstream'),
+			script: programs.upstream,
 			args: [JSON.stringify(options)],
 			readyIn: line => line.ready,
 		});
 	}
 
-	private async putPolicy(): Promise<void> {
-		const folder = await mkdtemp('/tmp/medlarsaddle-policy-');
-		for (const [name, text] of Object.entries(this.opts.deployment.policy)) {
-			const file = `${folder}/${name}.yaml`;
-			await writeFile(file, text);
-			const {code, text: output} = await this.operate(this.hosts[0]!, ['policy', 'put', file]);
-			if (code !== 0) {
-				throw new Error(`Policy ${name} was not put: ${output}`);
-			}
-		}
-
-		await rm(folder, {recursive: true});
-		await this.untilInForce();
-	}
-
-	/** Waits until every node holds as many policy sections as were put. */
-	private async untilInForce(): Promise<void> {
-		const expected = Object.keys(this.opts.deployment.policy).length;
-		for (const host of this.hosts) {
-			const held = () => host.node.lines.filter(({event}) => event === 'MS4001').length;
-			while (held() < expected) {
-				await delay(settlePollMs);
-			}
-		}
-	}
-
 	private async endpointsKnown({ports}: Host): Promise<number> {
 		const operators = Operators.connect(`127.0.0.1:${ports.operator}`);
 		const reply = await operators.call('getUpstreams', {service: ''});
@@ -356,5 +280,3 @@
 		return reply.body.json();
 	}
 }
-
-const scaled = (count: number, scale: number): number => Math.max(1, Math.round(count * scale));
--- /dev/null
+++ b/packages/testbed/src/deploy/put-policy.ts
@@ -0,0 +1,36 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Deployment} from './deployment.js';
+import type {Host} from './host.js';
+import {operate} from './operate.js';
+
+const pollMs = 50;
+
+/**
+ * Puts the policy of a deployment through the operators' client; resolves once every node holds it.
+ *
+ * @example
+ * await putPolicy(hungary.policy, fleet.hosts);
+ */
+export const putPolicy = async (
+	policy: Deployment['policy'],
+	hosts: readonly Host[],
+): Promise<void> => {
+	const folder = await mkdtemp('/tmp/medlarsaddle-policy-');
+	for (const [name, text] of Object.entries(policy)) {
+		const file = `${folder}/${name}.yaml`;
+		await writeFile(file, text);
+		const {code, text: output} = await operate(hosts[0]!, ['policy', 'put', file]);
+		if (code !== 0) {
+			throw new Error(`Policy ${name} was not put: ${output}`);
+		}
+	}
+
+	await rm(folder, {recursive: true});
+	const expected = Object.keys(policy).length;
+	for (const {node} of hosts) {
+		while (node.lines.filter(({event}) => event === 'MS4001').length < expected) {
+			await delay(pollMs);
+		}
+	}
+};
