Leave less headroom over the slots of small upstreams

With half of its square root as headroom the limit of such a host settles at 3.5, so every urgent call waits in the upstream's own line, where ranks do not count.

Ruled out: a tenth of the root (the limit stays at 12 of 16 slots once the upstream is slower, and the floods of the pressure test fail) and a least limit of 2 (a busy upstream of 4 slots falls to 2).

Change: a quarter of the root. The lease of the upstream is a file of its own.

--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -15,7 +15,7 @@
 const startFactor = 2;
 
 /** Share of the square root of the limit that it may exceed what latency calls for. */
-const headroom = 0.5;
+const headroom = 0.25;
 const minGradient = 0.5;
 const minSamples = 5;
 const maxJobBaselines = 500;
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -13,6 +13,7 @@
 import {SilenceWatch} from './silence-watch.js';
 import {slotFaults} from './slot-faults.js';
 import {Suspects} from './suspects.js';
+import {UpstreamLease} from './upstream-lease.js';
 
 type Announcement = z.infer<typeof announcement>;
 
@@ -38,12 +39,6 @@
 	readonly admission: Admission;
 };
 
-const leaseMs = 15_000;
-
-/** An upstream that renewed its announcement this lately needs no probe. */
-const renewalMs = 3000;
-const unhealthyProbes = 3;
-
 /**
  * The place of the one upstream that runs on this node's host: its announcement, its admission and
  * its connections.
@@ -60,8 +55,7 @@
 	/** Calls that were started on the upstream. */
 	started = 0;
 	private serving: Serving | undefined;
-	private renewedMs = 0;
-	private failedProbes = 0;
+	private readonly lease: UpstreamLease;
 	private isNodeDraining = false;
 	private readonly bottleneck = Bottleneck.create();
 	private readonly suspects: Suspects;
@@ -69,6 +63,7 @@
 	private readonly crashes: CrashWatch;
 
 	private constructor(private readonly opts: Opts) {
+		this.lease = UpstreamLease.create(opts.clock);
 		this.silence = SilenceWatch.create(opts.clock);
 		this.suspects = Suspects.create(opts.quarantine);
 		this.crashes = CrashWatch.create({
@@ -105,8 +100,7 @@
 	/** Takes up an announcement; a new instance starts with fresh limits. */
 	announce(next: Announcement): void {
 		const before = this.serving?.announcement;
-		this.renewedMs = this.opts.clock.monotonic();
-		this.failedProbes = 0;
+		this.lease.renew();
 		const isSame =
 			before?.instance === next.instance &&
 			before.service === next.service &&
@@ -174,19 +168,9 @@
 	/** Probes the upstream; withdraws it when it neither renews nor answers. */
 	async probe(): Promise<void> {
 		const {serving} = this;
-		const silentMs = this.opts.clock.monotonic() - this.renewedMs;
-		if (!serving || silentMs < renewalMs) {
-			return;
-		}
-
-		if (await serving.pool.isAnswering()) {
-			this.failedProbes = 0;
-			return;
-		}
-
-		this.failedProbes++;
-		const isLapsed = this.opts.clock.monotonic() - this.renewedMs > leaseMs;
-		if (this.serving === serving && this.failedProbes >= unhealthyProbes && isLapsed) {
+		const hasLapsed =
+			serving && (await this.lease.hasLapsed(async () => serving.pool.isAnswering()));
+		if (hasLapsed && this.serving === serving) {
 			this.opts.log(events.upstreamUnhealthy, {service: serving.announcement.service});
 			this.withdraw();
 		}
