Explain a refusal by the service that made it

Cause: `explain` showed a cutoff of 128 for requests that the entry had refused because of a service further down, and named neither that service nor a limit; no test drove the command.

Ruled out: keeping explanations at the refusing node (an operator asks where the request came in).

Change: refusals carry the service that made them and its limit; refusals at the entry carry the cutoffs that they were made by. The demo prints the report over all nodes.

--- a/packages/client/src/commands/explain.ts
+++ b/packages/client/src/commands/explain.ts
@@ -21,7 +21,10 @@
 			async operators => operators.call('explain', {subject: this.subject ?? ''}),
 			({explanations}) => {
 				this.printTable(
-					['at', 'service', 'job', 'rank', 'cohort', 'cutoff', 'fault', 'run', 'policy', 'why'],
+					[
+						...['at', 'service', 'job', 'rank', 'cohort', 'cutoff', 'refused by', 'limit'],
+						...['fault', 'run', 'policy', 'why'],
+					],
 					explanations.map(found => [
 						new Date(found.atMs).toISOString(),
 						found.service,
@@ -29,6 +32,8 @@
 						found.rank,
 						String(found.cohort),
 						found.cutoff.toFixed(0),
+						found.refusedBy,
+						found.limit === 0 ? '' : String(found.limit),
 						found.fault,
 						found.run,
 						String(found.policyVersion),
--- a/packages/node/src/calls/router.ts
+++ b/packages/node/src/calls/router.ts
@@ -199,12 +199,16 @@
 		}
 
 		const cutoffs = this.book.cutoffsFor(service, job, this.opts.clock.monotonic());
-		return !cutoffs || cutoffs.admits(rank, cohort)
-			? undefined
-			: refusalOf(callFaults.pressedBelow, runStates.notRun, allowance, {
-					retryAfterMs: 1000,
-					by: this.book.presserOf(service, job),
-				});
+		if (!cutoffs || cutoffs.admits(rank, cohort)) {
+			return undefined;
+		}
+
+		const by = this.book.presserOf(service, job);
+		const refused = refusalOf(callFaults.pressedBelow, runStates.notRun, allowance, {
+			retryAfterMs: 1000,
+			by,
+		});
+		return {...refused, cutoffs: cutoffs.values, pressedBy: by};
 	}
 
 	private allowanceOf({key, allowance}: CallRequest): Allowance {
--- a/packages/node/src/report/explanations.ts
+++ b/packages/node/src/report/explanations.ts
@@ -13,6 +13,8 @@
 	readonly what: string;
 	readonly remedy: string;
 	readonly policyVersion: number;
+	readonly refusedBy: string;
+	readonly limit: number;
 };
 
 const maxKept = 500;
--- a/packages/node/src/report/observe.ts
+++ b/packages/node/src/report/observe.ts
@@ -58,6 +58,8 @@
 				what: result.what,
 				remedy: result.remedy,
 				policyVersion: config.policy.sectionOf(service)?.version ?? 0,
+				refusedBy: result.by ?? '',
+				limit: result.limit ?? 0,
 			});
 		}
 	};
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -278,6 +278,7 @@
 			run: runStates.notRun,
 			retryAfterMs: fault.kind === faultKinds.overloaded ? 1000 : undefined,
 			by: this.bottleneck.place(request.service),
+			limit: admission?.limitValue,
 		};
 		return {
 			result: refusal,
--- a/packages/testbed/src/bin/demo.ts
+++ b/packages/testbed/src/bin/demo.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {createSystemClock} from '@medlarsaddle/core';
 import {summarize} from '../bench/summarize.js';
 import {Load} from '../callers/load.js';
@@ -14,6 +15,8 @@
 const endMs = 18_000;
 const quietLoad = 0.4;
 const floodLoad = 2;
+const rollUpMs = 1000;
+const settledRollUps = 3;
 
 /** A Hungarian deployment in small: every service once in each of two data centres. */
 const deployment = {
@@ -102,7 +105,7 @@
 process.on('SIGTERM', () => process.exit(1));
 process.on('SIGINT', () => process.exit(1));
 say('Starting the platform stand-in, 8 nodes and 8 upstreams as separate processes.');
-const fleet = await Fleet.start({deployment, scale, seed});
+const fleet = await Fleet.start({deployment, scale, seed, rollUpMs});
 let code = 1;
 try {
 	say(`The client has put ${Object.keys(deployment.policy).length} policy sections:\n`);
@@ -114,7 +117,8 @@
 	printPhase('Before the flood', shots, rampMs, floodFromMs);
 	printPhase('During the flood', shots, floodFromMs, floodToMs);
 	printPhase('After the flood', shots, floodToMs, endMs);
-	say('\nThe report of one node:\n');
+	say('\nThe report over all nodes:\n');
+	await delay(rollUpMs * settledRollUps);
 	say((await fleet.operate(fleet.hosts[0]!, ['report'])).text);
 	const broken = await check(fleet, shots);
 	for (const promise of broken) {
--- a/packages/testbed/test/report.test.ts
+++ b/packages/testbed/test/report.test.ts
@@ -92,3 +92,35 @@
 	await cluster.until(async () => totalOf(await reportOf(hosts[1]!)) >= 12);
 	assert.equal(totalOf(await reportOf(hosts[1]!)), 12);
 });
+
+test('a refusal is explained by the ID of its request, at the node that gave it', async () => {
+	const hosts = await start('dc1', 'dc1');
+	const refuse = async (service: string): Promise<string> => {
+		const reply = await request(
+			`http://127.0.0.1:${hosts[0]!.node.ports.http}/call/${service}/work`,
+		);
+		await reply.body.dump();
+		return String(reply.headers['medlar-root-id']);
+	};
+
+	const explain = async (host: Host, subject: string) => {
+		const operators = Operators.connect(`127.0.0.1:${host.node.ports.operator}`);
+		const reply = await operators.call('explain', {subject});
+		operators.close();
+		return reply._unsafeUnwrap().explanations;
+	};
+
+	const first = await refuse('nowhere');
+	const second = await refuse('elsewhere');
+	const [found, ...others] = await explain(hosts[0]!, first);
+	assert.equal(others.length, 0);
+	assert.equal(found!.service, 'nowhere');
+	assert.equal(found!.run, 'not-run');
+	assert.ok(found!.remedy.length > 0);
+	const all = await explain(hosts[0]!, '');
+	assert.deepEqual(
+		all.map(({rootId}) => rootId),
+		[second, first],
+	);
+	assert.deepEqual(await explain(hosts[1]!, first), []);
+});
--- a/packages/wire/src/refusal.ts
+++ b/packages/wire/src/refusal.ts
@@ -20,4 +20,6 @@
 	readonly final?: boolean;
 	/** The service that refused, and which service it waits for, as reports name it. */
 	readonly by?: string;
+	/** Concurrency limit of the node that refused. */
+	readonly limit?: number;
 };
