Blame the service that holds the slots, not the wait for them

Ruled out: leaving the wait out of the slowest service altogether (a queue of its own is the cause at a service that is simply overloaded).

Change: the bottleneck of an upstream is judged by what holds its places: its usual work against the slowest service below, weighed by time; the wait is then put to the service together with what it waits for.

--- a/packages/client/src/commands/explain.ts
+++ b/packages/client/src/commands/explain.ts
@@ -22,8 +22,18 @@
 			({explanations}) => {
 				this.printTable(
 					[
-						...['at', 'service', 'job', 'rank', 'cohort', 'cutoff', 'refused by', 'limit'],
-						...['fault', 'run', 'policy', 'why'],
+						'at',
+						'service',
+						'job',
+						'rank',
+						'cohort',
+						'cutoff',
+						'refused by',
+						'limit',
+						'fault',
+						'run',
+						'policy',
+						'why',
 					],
 					explanations.map(found => [
 						new Date(found.atMs).toISOString(),
--- a/packages/node/src/upstream/in-flight-call.ts
+++ b/packages/node/src/upstream/in-flight-call.ts
@@ -24,7 +24,7 @@
 	private childStartMs = 0;
 	private childMs = 0;
 	private hasActed = false;
-	private slowestBelow: CallOutcome['slowest'];
+	private slowestChild: CallOutcome['slowest'];
 	private presser: string | undefined;
 	private refusal: string | undefined;
 
@@ -59,10 +59,9 @@
 		return this.refusal;
 	}
 
-	/** The service that took the most time: this one, with its wait for a permit, or one below. */
-	slowest(waitedMs: number): NonNullable<CallOutcome['slowest']> {
-		const own = {service: this.request.service, ms: Math.round(waitedMs + this.ownMs)};
-		return this.slowestBelow && this.slowestBelow.ms > own.ms ? this.slowestBelow : own;
+	/** The slowest service of the chains below; undefined when it made no calls that ended. */
+	get slowestBelow(): CallOutcome['slowest'] {
+		return this.slowestChild;
 	}
 
 	/** Time the upstream itself has spent so far, its own calls left out, in milliseconds. */
@@ -93,8 +92,8 @@
 
 		this.hasActed ||= acted;
 		this.allowance.giveBack(child.unspent);
-		if (child.slowest && child.slowest.ms > (this.slowestBelow?.ms ?? 0)) {
-			this.slowestBelow = child.slowest;
+		if (child.slowest && child.slowest.ms > (this.slowestChild?.ms ?? 0)) {
+			this.slowestChild = child.slowest;
 		}
 
 		if (child.result.kind === 'refusal') {
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -252,10 +252,12 @@
 		result: CallOutcome['result'],
 		waitedMs: number,
 	): CallOutcome {
-		const {service} = call.request;
+		const {service, job} = call.request;
 		const own = admission.cutoffs;
-		const slowest = call.slowest(waitedMs);
-		this.bottleneck.note(slowest, waitedMs + call.heldMs);
+		const below = call.slowestBelow;
+		const workMs = Math.min(call.ownMs, admission.usualMs(job) ?? call.ownMs);
+		this.bottleneck.note([{service, ms: workMs}, ...(below ? [below] : [])]);
+		const here = {service: this.bottleneck.place(service), ms: waitedMs + call.ownMs};
 		const isPressedBelow = call.cutoffs?.isStricterThan(own) ?? false;
 		return {
 			result,
@@ -263,7 +265,7 @@
 			pressedBy: isPressedBelow ? call.pressedBy : this.bottleneck.place(service),
 			load: loadOf(admission),
 			unspent: call.allowance.remaining,
-			slowest,
+			slowest: below && below.ms > here.ms ? below : here,
 			refusedBelow: call.refusedBelow,
 		};
 	}
--- a/packages/node/test/bottleneck.test.ts
+++ b/packages/node/test/bottleneck.test.ts
@@ -2,31 +2,36 @@
 import {test} from 'node:test';
 import {Bottleneck} from '../src/upstream/bottleneck.js';
 
+const ownWork = {service: 'reservation', ms: 100};
+
 const cases = [
 	['no calls yet', [], 'reservation'],
-	['own work', [{service: 'reservation', ms: 90}], 'reservation'],
-	['a slow service below', [{service: 'pitch-map', ms: 90}], 'reservation, waiting for pitch-map'],
-	['a service below that takes less than half', [{service: 'pitch-map', ms: 40}], 'reservation'],
+	['own work', [[ownWork]], 'reservation'],
+	[
+		'a slow service below',
+		[[ownWork, {service: 'pitch-map', ms: 900}]],
+		'reservation, waiting for pitch-map',
+	],
+	[
+		'a service below that takes less than half',
+		[[ownWork, {service: 'pitch-map', ms: 80}]],
+		'reservation',
+	],
 	[
 		'a service below that was slow before',
-		[
-			{service: 'pitch-map', ms: 90},
-			{service: 'reservation', ms: 90},
-			{service: 'reservation', ms: 90},
-		],
+		[[ownWork, {service: 'pitch-map', ms: 900}], [ownWork], [ownWork]],
 		'reservation',
 	],
 ] as const;
 
-const callMs = 100;
 const rounds = 30;
 
-for (const [name, slowest, place] of cases) {
+for (const [name, calls, place] of cases) {
 	test(`what an upstream is said to wait for: ${name}`, () => {
 		const bottleneck = Bottleneck.create();
-		for (const each of slowest) {
+		for (const parts of calls) {
 			for (let round = 0; round < rounds; round++) {
-				bottleneck.note(each, callMs);
+				bottleneck.note(parts);
 			}
 		}
 
