Tell a slower upstream from a queue while a flood begins

At low load the limit doubled to 16 for 4 slots, as half of it in use sufficed; the flood then stood in the upstream's own line. With a smaller limit another fault showed: judged at one share of the limit only, the upstream's slowness passed for a queue that shrinking had helped, and the limit went down to 1.

Change: a limit grows only when four fifths of it were in use. While it shrinks, each window is judged against both explanations: in a queue the slowdown falls as the limit does, of a slower upstream it stays; the border is halfway as ratios go.

--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -16,6 +16,8 @@
 
 /** Share of the square root of the limit that it may exceed what latency calls for. */
 const headroom = 0.25;
+/** Share of the limit that has to have been in use for it to grow. */
+const usedShare = 0.8;
 const minGradient = 0.5;
 const minSamples = 5;
 const maxJobBaselines = 500;
@@ -23,8 +25,6 @@
 /** How far the limit shrinks before it is judged whether that helped. */
 const trialShrink = 0.6;
 
-/** Share of the slowdown that has to be left for the upstream to count as slower itself. */
-const trialRemains = 0.8;
 const averageGain = 0.2;
 
 /** Length of a window, in milliseconds. */
@@ -152,7 +152,7 @@
 		const wanted = this.limit * gradient + Math.sqrt(this.limit) * headroom;
 		// An idle upstream says nothing about how much it could run.
 		const grows = wanted > this.limit;
-		if (grows && peakInFlight < this.limit / 2) {
+		if (grows && peakInFlight < this.limit * usedShare) {
 			return;
 		}
 
@@ -201,16 +201,18 @@
 		}
 
 		this.trial ??= {limit: this.limit, slowdown};
-		if (this.limit > this.trial.limit * trialShrink && this.limit > minLimit) {
+		const share = this.limit / this.trial.limit;
+		if (share > trialShrink && this.limit > minLimit) {
 			return;
 		}
 
-		if (slowdown >= this.trial.slowdown * trialRemains) {
+		// In a queue the slowdown falls as the limit does; of a slower upstream it stays. The border is
+		// halfway between the two, as ratios go.
+		if (slowdown >= this.trial.slowdown * Math.sqrt(share)) {
 			this.rebase(slowdown);
 			this.isRebased = true;
+			this.trial = undefined;
 		}
-
-		this.trial = undefined;
 	}
 
 	/** How many times slower than its baseline the window was; undefined with too few samples. */
--- a/packages/control/test/pressure.test.ts
+++ b/packages/control/test/pressure.test.ts
@@ -117,6 +117,16 @@
 		],
 		least: [0.99, 0.1],
 	},
+	{
+		name: 'an upstream that becomes three times slower as a flood of others begins',
+		slots: 4,
+		holdMs: nowMs => (nowMs < fromMs ? 120 : 360),
+		flows: [
+			{rank: 0, deadlineMs: 1500, perSecond: steadily(5)},
+			{rank: 1, deadlineMs: 1500, perSecond: nowMs => (nowMs < fromMs ? 10 : 60)},
+		],
+		least: [0.99, 0.05],
+	},
 	{
 		name: 'many fast slots, a flood of others at three times the capacity',
 		slots: 20,
