Do not shrink a limit for latency that it does not cause

Times differ from call to call, the baseline had become the lowest of all window averages, and with a tolerance of 1.25 ordinary windows counted as slow. At low load the limit then only shrank, since growth asks for the limit to be in use and shrinking did not.

Change: a limit that is not in use neither grows nor shrinks, and no trial or halving is judged then. The baseline goes 0.3 of the way to a lower average and rises by 0.002 a window again.

--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -16,9 +16,11 @@
 
 /** Share of the square root of the limit that it may exceed what latency calls for. */
 const headroom = 0.25;
-/** Share of the limit that has to have been in use for it to grow. */
+/** Share of the limit that has to have been in use for it to change. */
 const usedShare = 0.8;
 const minGradient = 0.5;
+const baselineFallShare = 0.3;
+const baselineRisePerWindow = 1.002;
 const minSamples = 5;
 const maxJobBaselines = 500;
 
@@ -134,6 +136,17 @@
 			return;
 		}
 
+		if (slowdown < confirmingSlowdown) {
+			this.unconfirmedWindows = 0;
+		}
+
+		// An upstream that is not in full use says nothing about how much it could run, and what makes
+		// it slow is not the limit.
+		if (peakInFlight < this.limit * usedShare) {
+			this.trial = undefined;
+			return;
+		}
+
 		const gradient = Math.max(minGradient, Math.min(1, tolerance / slowdown));
 		this.judgeTrial(slowdown, gradient);
 		if (this.isRebased && this.fastest > fasterFactor) {
@@ -141,21 +154,13 @@
 			return;
 		}
 
-		if (slowdown < confirmingSlowdown) {
-			this.unconfirmedWindows = 0;
-		} else if (this.isProbeDue && peakInFlight >= this.limit / 2) {
+		if (this.isProbeDue) {
 			this.limitBeforeProbe = this.limit;
 			this.halve();
 			return;
 		}
 
 		const wanted = this.limit * gradient + Math.sqrt(this.limit) * headroom;
-		// An idle upstream says nothing about how much it could run.
-		const grows = wanted > this.limit;
-		if (grows && peakInFlight < this.limit * usedShare) {
-			return;
-		}
-
 		this.isStarting &&= gradient === 1 && this.limit < this.maxLimit;
 		const next = this.isStarting
 			? this.limit * startFactor
@@ -227,7 +232,7 @@
 				continue;
 			}
 
-			const baselineMs = Math.min(averageMs, known ?? averageMs);
+			const baselineMs = baselineAfter(known, averageMs);
 			this.baselines.set(job, baselineMs);
 			this.fastest = Math.max(this.fastest, (known ?? averageMs) / averageMs);
 			weighted += (sum.count * averageMs) / baselineMs;
@@ -242,3 +247,14 @@
 		return weighted / count;
 	}
 }
+
+/** Follows the lowest averages: down by a part of the way, since one may be low by chance, up slowly. */
+const baselineAfter = (knownMs: number | undefined, averageMs: number): number => {
+	if (knownMs === undefined) {
+		return averageMs;
+	}
+
+	return averageMs < knownMs
+		? knownMs + (averageMs - knownMs) * baselineFallShare
+		: Math.min(averageMs, knownMs * baselineRisePerWindow);
+};
--- a/packages/control/test/pressure.test.ts
+++ b/packages/control/test/pressure.test.ts
@@ -13,19 +13,25 @@
 	readonly name: string;
 	readonly slots: number;
 	readonly holdMs: (nowMs: number) => number;
+	/** How far each call's time may be from that, as a share of it; a fifth by default. */
+	readonly spread?: number;
+	/** When counting ends, in milliseconds; 15 s by default. */
+	readonly toMs?: number;
 	readonly flows: readonly Flow[];
-	/** Least share of each rank that has to end in time, among calls that arrive from 5 s to 15 s. */
+	/** Least share of each rank that has to end in time, among calls that arrive from 5 s on. */
 	readonly least: readonly number[];
 };
 
 const stepMs = 5;
 const windowMs = 100;
 const fromMs = 5000;
-const toMs = 15_000;
-const endMs = 20_000;
+const defaultToMs = 15_000;
+const settleMs = 5000;
 
 /** Drives one admission in front of an upstream that runs `slots` calls at once, the rest in line. */
-const shares = async ({slots, holdMs, flows}: Case, seed: number): Promise<number[]> => {
+const shares = async (plan: Case, seed: number): Promise<number[]> => {
+	const {slots, holdMs, flows, spread = 0.2, toMs = defaultToMs} = plan;
+	const endMs = toMs + settleMs;
 	const random = createRandom(seed);
 	const clock = ManualClock.at(0);
 	const admission = Admission.create({clock, floors: [0, 0.05], slotsHint: slots, maxLimit: 100});
@@ -80,7 +86,7 @@
 		busy = busy.filter(({endMs}) => endMs > nowMs);
 		await new Promise(setImmediate);
 		for (let free = slots - busy.length; free > 0 && line.length > 0; free--) {
-			line.shift()!(nowMs + holdMs(nowMs) * (0.8 + 0.4 * random.next()));
+			line.shift()!(nowMs + holdMs(nowMs) * (1 - spread + 2 * spread * random.next()));
 		}
 
 		await new Promise(setImmediate);
@@ -107,6 +113,18 @@
 		],
 		least: [0.99, 0],
 	},
+	{
+		name: 'a third of the capacity for a minute, with times that differ widely',
+		slots: 5,
+		holdMs: steadily(240),
+		spread: 0.5,
+		toMs: 65_000,
+		flows: [
+			{rank: 0, deadlineMs: 3000, perSecond: steadily(4)},
+			{rank: 1, deadlineMs: 1500, perSecond: steadily(3)},
+		],
+		least: [1, 0.99],
+	},
 	{
 		name: 'an upstream that becomes three times slower, urgent calls at 60 in 100 of what is left',
 		slots: 4,
--- a/packages/testbed/src/bench/outage.ts
+++ b/packages/testbed/src/bench/outage.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {countFaults} from './count-faults.js';
 import {experiment} from './experiment.js';
 import type {Scenario} from './scenario.js';
 import {summarize} from './summarize.js';
@@ -45,7 +46,15 @@
 			({outcome: ended, fault}) => ended !== 'good' && fault !== 'no-endpoint',
 		).length;
 		return {
-			figures: {all, couldBeServed, doubles, falseNotRun, wrong, platformCalls},
+			figures: {
+				all,
+				faults: countFaults(outcome.shots),
+				couldBeServed,
+				doubles,
+				falseNotRun,
+				wrong,
+				platformCalls,
+			},
 			bounds: {
 				'requests lost that could be served = 0': couldBeServed === 0,
 				'doubles = 0': doubles === 0,
