Describe the concurrency limit as it is now

Cause: the description named neither use nor probes as they are.

Tried and reverted: taking baselines from full windows only, in place of from each window until five calls were seen.

Change: the comment alone, and blank lines between constants.

Conclusion: kept as it was.

--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -16,6 +16,7 @@
 
 /** Share of the square root of the limit that it may exceed what latency calls for. */
 const headroom = 0.25;
+
 /** Share of the limit that has to have been in use for it to change. */
 const usedShare = 0.8;
 const minGradient = 0.5;
@@ -26,7 +27,6 @@
 
 /** How far the limit shrinks before it is judged whether that helped. */
 const trialShrink = 0.6;
-
 const averageGain = 0.2;
 
 /** Length of a window, in milliseconds. */
@@ -48,13 +48,13 @@
  * Finds how many calls an upstream runs at once without queueing, from latency. Latency is compared
  * with the lowest window average of the same job, so that jobs of different length can share an
  * upstream. Windows are 100 ms long; after a change the limit waits for as long as a call takes, so
- * that it judges what it has caused. A new limit doubles each time until latency first rises. From then on it grows by
- * its square root while latency stays near the baseline and shrinks in proportion when it rises. When
- * shrinking does not bring latency down, the upstream itself has become slower, and what it shows now
- * is the new baseline. When it then becomes faster again, the limit is halved until latency falls no
- * further, since a baseline that was seen in a queue is too high. A busy upstream whose baseline no
- * window has come near for long is probed: the limit is halved until latency falls no further,
- * and what is left is the new baseline. The limit stays between 1 and the connection limit.
+ * that it judges what it has caused. A new limit doubles each time until latency first rises. From
+ * then on it grows by a share of its square root while latency stays near the baseline, and shrinks in
+ * proportion when it rises; it moves only while it is in use. When shrinking does not bring latency
+ * down, the upstream itself has become slower, and what it shows now is the new baseline. When it then
+ * becomes faster again, the limit is halved until latency falls no further, since a baseline that was
+ * seen in a queue is too high. A busy upstream whose baseline no window has come near for long is
+ * probed in the same way. The limit stays between 1 and the connection limit.
  *
  * @example
  * limit.sample('PAY', {ownMs: 12, heldMs: 40});
