Give the baselines of a limit a file of their own

Ruled out: a change of what it does.

Change: Baselines holds the usual latency of each job and compares a window with it; ConcurrencyLimit decides.

--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -1,3 +1,5 @@
+import {Baselines} from './baselines.js';
+
 type Opts = {
 	/** Slots that the upstream reports; a hint for the first limit only. */
 	readonly slotsHint: number;
@@ -20,10 +22,6 @@
 /** Share of the limit that has to have been in use for it to change. */
 const usedShare = 0.8;
 const minGradient = 0.5;
-const baselineFallShare = 0.3;
-const baselineRisePerWindow = 1.002;
-const minSamples = 5;
-const maxJobBaselines = 500;
 
 /** How far the limit shrinks before it is judged whether that helped. */
 const trialShrink = 0.6;
@@ -78,9 +76,7 @@
 	private unconfirmedWindows = 0;
 	/** The limit to go back to after a probe. */
 	private limitBeforeProbe: number | undefined;
-	private fastest = 1;
-	private readonly baselines = new Map<string, number>();
-	private readonly window = new Map<string, {sumMs: number; count: number}>();
+	private readonly baselines = Baselines.create();
 
 	private constructor(
 		private limit: number,
@@ -99,7 +95,7 @@
 
 	/** The usual latency of a job at low load, in milliseconds; undefined when it is not known. */
 	baselineOf(job: string): number | undefined {
-		return this.baselines.get(job);
+		return this.baselines.of(job);
 	}
 
 	/**
@@ -107,11 +103,8 @@
 	 * held its place in all.
 	 */
 	sample(job: string, {ownMs, heldMs}: {readonly ownMs: number; readonly heldMs: number}): void {
-		const sum = this.window.get(job) ?? {sumMs: 0, count: 0};
+		this.baselines.sample(job, ownMs);
 		this.heldMs = this.heldMs === 0 ? heldMs : this.heldMs + (heldMs - this.heldMs) * averageGain;
-		sum.sumMs += Math.max(0.05, ownMs);
-		sum.count++;
-		this.window.set(job, sum);
 	}
 
 	/** Ends a window in which at most `peakInFlight` calls ran at once. */
@@ -120,19 +113,20 @@
 		if (this.hold > 0) {
 			// Calls that end now were started under an earlier limit.
 			this.hold--;
-			this.window.clear();
+			this.baselines.clear();
 			return;
 		}
 
-		const slowdown = this.slowdown();
-		if (slowdown === undefined) {
+		const compared = this.baselines.compare();
+		if (!compared) {
 			return;
 		}
 
+		const {slowdown, fastest} = compared;
 		this.hold = Math.floor(this.heldMs / windowMs);
 
 		if (this.limitBeforeProbe !== undefined) {
-			this.judgeProbe(slowdown, this.limitBeforeProbe);
+			this.judgeProbe(compared, this.limitBeforeProbe);
 			return;
 		}
 
@@ -149,7 +143,7 @@
 
 		const gradient = Math.max(minGradient, Math.min(1, tolerance / slowdown));
 		this.judgeTrial(slowdown, gradient);
-		if (this.isRebased && this.fastest > fasterFactor) {
+		if (this.isRebased && fastest > fasterFactor) {
 			this.halve();
 			return;
 		}
@@ -174,14 +168,17 @@
 	}
 
 	/** Goes on while latency falls with the limit; what it ends at is the baseline. */
-	private judgeProbe(slowdown: number, limitBefore: number): void {
+	private judgeProbe(
+		{slowdown, fastest}: {readonly slowdown: number; readonly fastest: number},
+		limitBefore: number,
+	): void {
 		const before = this.limit;
-		if (this.fastest > confirmingSlowdown) {
+		if (fastest > confirmingSlowdown) {
 			this.halve();
 		}
 
 		if (this.limit === before) {
-			this.rebase(slowdown);
+			this.baselines.rebase(slowdown);
 			this.limit = limitBefore;
 			this.limitBeforeProbe = undefined;
 			this.unconfirmedWindows = 0;
@@ -192,12 +189,6 @@
 		this.limit = Math.max(Math.min(minFirstLimit, this.limit), this.limit / 2);
 	}
 
-	private rebase(slowdown: number): void {
-		for (const [job, baselineMs] of this.baselines) {
-			this.baselines.set(job, baselineMs * slowdown);
-		}
-	}
-
 	/** Rebases the jobs when a smaller limit has not made the upstream faster. */
 	private judgeTrial(slowdown: number, gradient: number): void {
 		if (gradient === 1) {
@@ -214,47 +205,9 @@
 		// In a queue the slowdown falls as the limit does; of a slower upstream it stays. The border is
 		// halfway between the two, as ratios go.
 		if (slowdown >= this.trial.slowdown * Math.sqrt(share)) {
-			this.rebase(slowdown);
+			this.baselines.rebase(slowdown);
 			this.isRebased = true;
 			this.trial = undefined;
 		}
 	}
-
-	/** How many times slower than its baseline the window was; undefined with too few samples. */
-	private slowdown(): number | undefined {
-		let weighted = 0;
-		let count = 0;
-		this.fastest = 1;
-		for (const [job, sum] of this.window) {
-			const averageMs = sum.sumMs / sum.count;
-			const known = this.baselines.get(job);
-			if (known === undefined && this.baselines.size >= maxJobBaselines) {
-				continue;
-			}
-
-			const baselineMs = baselineAfter(known, averageMs);
-			this.baselines.set(job, baselineMs);
-			this.fastest = Math.max(this.fastest, (known ?? averageMs) / averageMs);
-			weighted += (sum.count * averageMs) / baselineMs;
-			count += sum.count;
-		}
-
-		if (count < minSamples) {
-			return undefined;
-		}
-
-		this.window.clear();
-		return weighted / count;
-	}
 }
-
-/** Follows the lowest averages: down by a part of the way, since one may be low by chance, up slowly. */
-const baselineAfter = (knownMs: number | undefined, averageMs: number): number => {
-	if (knownMs === undefined) {
-		return averageMs;
-	}
-
-	return averageMs < knownMs
-		? knownMs + (averageMs - knownMs) * baselineFallShare
-		: Math.min(averageMs, knownMs * baselineRisePerWindow);
-};
