Colour the report on a terminal only

Cause: the demo's output, which is no terminal, had colour codes in it: the colour depth alone was asked for, and it goes by the environment.

Ruled out: the charts and the table library (the codes stand around the burn rates and alerts only).

Change: colour needs a terminal as well.

--- a/packages/client/src/commands/report.ts
+++ b/packages/client/src/commands/report.ts
@@ -133,6 +133,8 @@
 	}
 
 	private get colors() {
-		return pc.createColors(this.context.colorDepth > 1);
+		const {stdout, colorDepth} = this.context;
+		const isTerminal = 'isTTY' in stdout && stdout.isTTY === true;
+		return pc.createColors(isTerminal && colorDepth > 1);
 	}
 }
