--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -24,12 +24,12 @@
 };
 
 const queueTargetMs = 20;
-const maxQueueWaitMs = 200;
+const minQueueWaitMs = 200;
 const maxQueueShare = 1;
 const minQueueSize = 4;
 
 /** How far beyond the cutoff a call is admitted that others have already worked for, in cohorts. */
-const startedSlack = 8;
+const startedSlack = 32;
 
 /**
  * Admits calls to one upstream: cutoffs first, then a concurrency limit with a short queue by rank.
@@ -167,7 +167,7 @@
 		const maxSize = Math.max(minQueueSize, this.limit.value * maxQueueShare);
 		if (this.queue.size >= maxSize) {
 			this.overflowed = true;
-			const evicted = this.queue.evictBelow(call.rank);
+			const evicted = this.queue.evictBelow({rank: call.rank, isStarted: call.depth > 0});
 			if (!evicted) {
 				return this.refuse(overloaded);
 			}
@@ -184,8 +184,9 @@
 
 			const waiter = {
 				rank: call.rank,
+				isStarted: call.depth > 0,
 				enqueuedMs: nowMs,
-				expiresMs: Math.min(call.deadlineMs, nowMs + maxQueueWaitMs),
+				expiresMs: Math.min(call.deadlineMs, nowMs + this.maxWaitMs),
 				grant() {
 					call.signal.removeEventListener('abort', stop);
 					resolve(ok(true));
@@ -200,6 +201,11 @@
 		});
 	}
 
+	/** A queue of a slow upstream moves slowly, so its calls may wait for as long as one call takes. */
+	private get maxWaitMs(): number {
+		return Math.max(minQueueWaitMs, this.limit.averageMs);
+	}
+
 	private grantNext(): void {
 		const nowMs = this.opts.clock.monotonic();
 		while (this.running < this.limit.value) {
--- a/packages/control/src/concurrency-limit.ts
+++ b/packages/control/src/concurrency-limit.ts
@@ -15,12 +15,24 @@
 const minSamples = 5;
 const maxJobBaselines = 500;
 
+/** How far the limit shrinks before it is judged whether that helped. */
+const trialShrink = 0.6;
+
+/** Share of the slowdown that has to be left for the upstream to count as slower itself. */
+const trialRemains = 0.8;
+const averageGain = 0.2;
+
+/** A baseline that falls this much at once tells that a slower spell of the upstream is over. */
+const fasterFactor = 1.3;
+
 /**
  * Finds how many calls an upstream runs at once without queueing, from latency. Latency is compared
  * with the lowest window average of the same job, so that jobs of different length can share an
  * upstream. A new limit doubles each busy window until latency first rises. From then on it grows by
- * its square root while latency stays near the baseline and shrinks in proportion when it rises. It
- * stays between 1 and the connection limit.
+ * its square root while latency stays near the baseline and shrinks in proportion when it rises. When
+ * shrinking does not bring latency down, the upstream itself has become slower, and what it shows now
+ * is the new baseline. When it then becomes faster again, the limit is halved until latency falls no
+ * further, since a baseline that was seen in a queue is too high. The limit stays between 1 and the connection limit.
  *
  * @example
  * limit.sample('PAY', 12);
@@ -35,6 +47,10 @@
 	}
 
 	private isStarting = true;
+	private trial: {readonly limit: number; readonly slowdown: number} | undefined;
+	private average = 0;
+	private isRebased = false;
+	private fastest = 1;
 	private readonly baselines = new Map<string, number>();
 	private readonly window = new Map<string, {sumMs: number; count: number}>();
 
@@ -58,9 +74,15 @@
 		return this.baselines.get(job);
 	}
 
+	/** Smoothed time that the upstream takes for a call now, in milliseconds. */
+	get averageMs(): number {
+		return this.average;
+	}
+
 	/** Takes in the upstream's own time on one call, downstream calls left out. */
 	sample(job: string, ownMs: number): void {
 		const sum = this.window.get(job) ?? {sumMs: 0, count: 0};
+		this.average += (ownMs - this.average) * averageGain;
 		sum.sumMs += Math.max(0.05, ownMs);
 		sum.count++;
 		this.window.set(job, sum);
@@ -68,8 +90,15 @@
 
 	/** Ends a window in which at most `peakInFlight` calls ran at once. */
 	closeWindow(peakInFlight: number): void {
-		const gradient = this.gradient();
-		if (gradient === undefined) {
+		const slowdown = this.slowdown();
+		if (slowdown === undefined) {
+			return;
+		}
+
+		const gradient = Math.max(minGradient, Math.min(1, tolerance / slowdown));
+		this.judgeTrial(slowdown, gradient);
+		if (this.isRebased && this.fastest > fasterFactor) {
+			this.limit = Math.max(Math.min(minFirstLimit, this.limit), this.limit / 2);
 			return;
 		}
 
@@ -87,10 +116,34 @@
 		this.limit = Math.min(this.maxLimit, Math.max(minLimit, next));
 	}
 
-	/** Ratio of expected to seen latency over all jobs of the window; undefined with too few samples. */
-	private gradient(): number | undefined {
+	/** Rebases the jobs when a smaller limit has not made the upstream faster. */
+	private judgeTrial(slowdown: number, gradient: number): void {
+		if (gradient === 1) {
+			this.trial = undefined;
+			return;
+		}
+
+		this.trial ??= {limit: this.limit, slowdown};
+		if (this.limit > this.trial.limit * trialShrink && this.limit > minLimit) {
+			return;
+		}
+
+		if (slowdown >= this.trial.slowdown * trialRemains) {
+			for (const [job, baselineMs] of this.baselines) {
+				this.baselines.set(job, baselineMs * slowdown);
+			}
+
+			this.isRebased = true;
+		}
+
+		this.trial = undefined;
+	}
+
+	/** How many times slower than its baseline the window was; undefined with too few samples. */
+	private slowdown(): number | undefined {
 		let weighted = 0;
 		let count = 0;
+		this.fastest = 1;
 		for (const [job, sum] of this.window) {
 			const averageMs = sum.sumMs / sum.count;
 			const known = this.baselines.get(job);
@@ -100,7 +153,8 @@
 
 			const baselineMs = Math.min(averageMs, (known ?? averageMs) * baselineRisePerWindow);
 			this.baselines.set(job, baselineMs);
-			weighted += sum.count * Math.min(1, (tolerance * baselineMs) / averageMs);
+			this.fastest = Math.max(this.fastest, (known ?? averageMs) / averageMs);
+			weighted += (sum.count * averageMs) / baselineMs;
 			count += sum.count;
 		}
 
@@ -109,6 +163,6 @@
 		}
 
 		this.window.clear();
-		return Math.max(minGradient, weighted / count);
+		return weighted / count;
 	}
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -9,6 +9,7 @@
 export {CutoffControl} from './cutoff-control.js';
 export {Cutoffs} from './cutoffs.js';
 export {EndpointStats} from './endpoint-stats.js';
+export {issuerName} from './issuer-name.js';
 export {IssuedKey} from './issued-key.js';
 export {KeyLedger} from './key-ledger.js';
 export {keyStates} from './key-states.js';
--- a/packages/control/src/key-ledger.ts
+++ b/packages/control/src/key-ledger.ts
@@ -1,6 +1,7 @@
 import {type Clock, Fault, faultKinds} from '@medlarsaddle/core';
 import {type Result, err, ok} from 'neverthrow';
 import {IssuedKey} from './issued-key.js';
+import {issuerName} from './issuer-name.js';
 import {keyStates} from './key-states.js';
 
 type Opts = {
@@ -20,6 +21,22 @@
 	readonly outcome: Promise<Answer>;
 	readonly settle: (answer: Answer) => void;
 	state: (typeof keyStates)[keyof typeof keyStates];
+	answer?: Answer;
+};
+
+/** What makes a process the issuer of its keys. */
+type Estate = {
+	readonly node: string;
+	readonly incarnation: number;
+	readonly secret: string;
+};
+
+/** One key as it is handed over; without an answer its outcome is unknown. */
+type KeyRecord<Answer> = {
+	readonly key: string;
+	readonly fingerprint: string;
+	readonly atMs: number;
+	readonly answer?: Answer;
 };
 
 type Begin<Answer> =
@@ -36,7 +53,8 @@
 /**
  * Runs each key at most once. A key may be started only by the process that issued it, which keeps
  * a record of each until the key itself is too old to be started. So no other process, in this data
- * centre or beyond a partition, can start it a second time, whatever it believes of the issuer.
+ * centre or beyond a partition, can start it a second time, whatever it believes of the issuer. A
+ * process that stops as planned closes its ledger for good and hands it over to one other process.
  *
  * @example
  * const begun = ledger.begin(key, fingerprint);
@@ -55,7 +73,13 @@
 	}
 
 	private readonly entries = new Map<string, Entry<Answer>>();
+	/** Issuers that have handed their keys over to this process, with when that is forgotten. */
+	private readonly inherited = new Map<
+		string,
+		{readonly estate: Estate; readonly untilMs: number}
+	>();
 	private sequence = 0;
+	private isClosed = false;
 
 	private constructor(private readonly opts: Required<Opts>) {}
 
@@ -64,6 +88,60 @@
 		return this.entries.size;
 	}
 
+	/** Issuers whose keys this process has taken over, as `issuerName` writes them. */
+	get inheritedIssuers(): string[] {
+		const nowMs = this.opts.clock.now();
+		return [...this.inherited].filter(([, {untilMs}]) => untilMs > nowMs).map(([name]) => name);
+	}
+
+	/**
+	 * Closes the ledger for good and returns what another process needs to take its keys over. A key
+	 * whose request is still open is handed over as unknown.
+	 */
+	handOver(): {
+		readonly estates: readonly Estate[];
+		readonly records: ReadonlyArray<KeyRecord<Answer>>;
+	} {
+		this.isClosed = true;
+		const {node, incarnation, secret} = this.opts;
+		return {
+			estates: [
+				{node, incarnation, secret},
+				...[...this.inherited.values()].map(({estate}) => estate),
+			],
+			records: [...this.entries].map(([key, {fingerprint, atMs, state, answer}]) => ({
+				key,
+				fingerprint,
+				atMs,
+				answer: state === keyStates.done ? answer : undefined,
+			})),
+		};
+	}
+
+	/** Takes in records of an issuer that has closed its ledger. Keys are started only after `adopt`. */
+	takeRecords(records: ReadonlyArray<KeyRecord<Answer>>): void {
+		for (const {key, fingerprint, atMs, answer} of records) {
+			const entry = this.newEntry(atMs, fingerprint);
+			if (answer === undefined) {
+				entry.state = keyStates.unknown;
+			} else {
+				entry.state = keyStates.done;
+				entry.answer = answer;
+				entry.settle(answer);
+			}
+
+			this.entries.set(key, entry);
+		}
+	}
+
+	/** Becomes the issuer of the keys of closed ledgers, once all their records were taken in. */
+	adopt(estates: readonly Estate[]): void {
+		const untilMs = this.opts.clock.now() + this.opts.rememberMs;
+		for (const estate of estates) {
+			this.inherited.set(issuerName(estate.node, estate.incarnation), {estate, untilMs});
+		}
+	}
+
 	/** Issues a fresh key. */
 	issue(): string {
 		const {dataCentre, node, incarnation, secret, clock} = this.opts;
@@ -80,13 +158,20 @@
 	/** Whether this process issued the key. */
 	isIssuer(key: IssuedKey): boolean {
 		const {node, incarnation, secret} = this.opts;
-		return (
-			key.parts.node === node && key.parts.incarnation === incarnation && key.isSignedWith(secret)
-		);
+		if (key.parts.node === node && key.parts.incarnation === incarnation) {
+			return key.isSignedWith(secret);
+		}
+
+		const found = this.inherited.get(issuerName(key.parts.node, key.parts.incarnation));
+		return found !== undefined && key.isSignedWith(found.estate.secret);
 	}
 
 	/** Whether the key was issued here, was never started and may still be. */
 	isUnused(key: IssuedKey): boolean {
+		if (this.isClosed) {
+			return false;
+		}
+
 		const isYoung = this.opts.clock.now() - key.parts.issuedMs < this.opts.rememberMs;
 		return this.isIssuer(key) && isYoung && !this.entries.has(key.text);
 	}
@@ -114,7 +199,8 @@
 			);
 		}
 
-		if (this.opts.clock.now() - key.parts.issuedMs >= this.opts.rememberMs) {
+		const ageMs = this.opts.clock.now() - key.parts.issuedMs;
+		if (this.isClosed || ageMs >= this.opts.rememberMs) {
 			return ok({state: keyStates.unknown});
 		}
 
@@ -122,7 +208,7 @@
 			return err(full);
 		}
 
-		this.entries.set(key.text, this.newEntry(key, fingerprint));
+		this.entries.set(key.text, this.newEntry(key.parts.issuedMs, fingerprint));
 		return ok({state: keyStates.unused});
 	}
 
@@ -146,21 +232,29 @@
 		const entry = this.entries.get(key.text);
 		if (entry) {
 			entry.state = state;
+			entry.answer = answer;
 			entry.settle(answer);
 		}
 	}
 
-	private newEntry(key: IssuedKey, fingerprint: string): Entry<Answer> {
+	private newEntry(atMs: number, fingerprint: string): Entry<Answer> {
 		let settle: (answer: Answer) => void = () => {};
 		const outcome = new Promise<Answer>(resolve => {
 			settle = resolve;
 		});
-		return {fingerprint, atMs: key.parts.issuedMs, outcome, settle, state: keyStates.running};
+		return {fingerprint, atMs, outcome, settle, state: keyStates.running};
 	}
 
 	/** A record goes only once its key is too old to be started, so forgetting it is safe. */
 	private forgetOld(): void {
-		const oldestMs = this.opts.clock.now() - this.opts.rememberMs;
+		const nowMs = this.opts.clock.now();
+		for (const [name, {untilMs}] of this.inherited) {
+			if (untilMs <= nowMs) {
+				this.inherited.delete(name);
+			}
+		}
+
+		const oldestMs = nowMs - this.opts.rememberMs;
 		for (const [text, entry] of this.entries) {
 			if (entry.atMs > oldestMs) {
 				return;
--- a/packages/control/src/rank-queue.ts
+++ b/packages/control/src/rank-queue.ts
@@ -2,10 +2,12 @@
  * A call that waits for a permit.
  *
  * @example
- * const waiter: Waiter = {rank: 0, enqueuedMs, expiresMs, grant, refuse};
+ * const waiter: Waiter = {rank: 0, isStarted: false, enqueuedMs, expiresMs, grant, refuse};
  */
 type Waiter = {
 	readonly rank: number;
+	/** Whether others have worked for its request already. */
+	readonly isStarted: boolean;
 	readonly enqueuedMs: number;
 	readonly expiresMs: number;
 	readonly grant: () => void;
@@ -16,8 +18,8 @@
 
 /**
  * Waiting calls by rank. The most urgent rank goes first, save that a rank which has had less than
- * its floor of the recent grants goes before it. Inside a rank the order is first come, first
- * served, until the oldest has waited beyond the target; then the newest goes first, since it still
+ * its floor of the recent grants goes before it. Inside a rank, calls of requests that others have
+ * worked for already go before those at the entry. Among these the order is first come, first served, until the oldest has waited beyond the target; then the newest goes first, since it still
  * has time to finish.
  *
  * @example
@@ -30,7 +32,8 @@
 		return new RankQueue(floors, targetMs);
 	}
 
-	private ranks: Waiter[][];
+	/** Two lines for each rank: calls of started requests, then those at the entry. */
+	private lines: Waiter[][];
 	private served: number[];
 	private decayedMs = 0;
 	private count = 0;
@@ -39,7 +42,7 @@
 		private floors: readonly number[],
 		private readonly targetMs: number,
 	) {
-		this.ranks = floors.map(() => []);
+		this.lines = emptyLines(floors.length);
 		this.served = floors.map(() => 0);
 	}
 
@@ -50,9 +53,9 @@
 
 	/** Takes up the floors of a new policy; waiting calls keep their places. */
 	setFloors(floors: readonly number[]): void {
-		const waiting = this.ranks.flat();
+		const waiting = this.lines.flat();
 		this.floors = floors;
-		this.ranks = floors.map(() => []);
+		this.lines = emptyLines(floors.length);
 		this.served = floors.map((_floor, rank) => this.served[rank] ?? 0);
 		this.count = 0;
 		for (const waiter of waiting) {
@@ -62,28 +65,27 @@
 
 	/** Adds a call. */
 	push(waiter: Waiter): void {
-		this.ranks[Math.min(waiter.rank, this.ranks.length - 1)]!.push(waiter);
+		this.lines[this.lineOf(waiter)]!.push(waiter);
 		this.count++;
 	}
 
 	/** Removes one call, such as one that was cancelled. */
 	remove(waiter: Waiter): boolean {
-		for (const rank of this.ranks) {
-			const index = rank.indexOf(waiter);
-			if (index !== -1) {
-				rank.splice(index, 1);
-				this.count--;
-				return true;
-			}
+		const line = this.lines[this.lineOf(waiter)]!;
+		const index = line.indexOf(waiter);
+		if (index === -1) {
+			return false;
 		}
 
-		return false;
+		line.splice(index, 1);
+		this.count--;
+		return true;
 	}
 
-	/** Removes the oldest call of the least urgent rank below `rank`, to make room. */
-	evictBelow(rank: number): Waiter | undefined {
-		for (let lowest = this.ranks.length - 1; lowest > rank; lowest--) {
-			const waiter = this.ranks[lowest]!.shift();
+	/** Removes the oldest of the least important calls below this one, to make room. */
+	evictBelow(call: Pick<Waiter, 'rank' | 'isStarted'>): Waiter | undefined {
+		for (let lowest = this.lines.length - 1; lowest > this.lineOf(call); lowest--) {
+			const waiter = this.lines[lowest]!.shift();
 			if (waiter) {
 				this.count--;
 				return waiter;
@@ -95,7 +97,7 @@
 
 	/** Removes every call whose time is up. */
 	expired(nowMs: number): Waiter[] {
-		const gone = this.ranks.flat().filter(({expiresMs}) => expiresMs <= nowMs);
+		const gone = this.lines.flat().filter(({expiresMs}) => expiresMs <= nowMs);
 		for (const waiter of gone) {
 			this.remove(waiter);
 		}
@@ -117,7 +119,8 @@
 			return undefined;
 		}
 
-		const waiting = this.ranks[rank]!;
+		const started = this.lines[rank * 2]!;
+		const waiting = started.length > 0 ? started : this.lines[rank * 2 + 1]!;
 		const stands = nowMs - waiting[0]!.enqueuedMs > this.targetMs;
 		const waiter = stands ? waiting.pop()! : waiting.shift()!;
 		this.count--;
@@ -125,15 +128,19 @@
 		return waiter;
 	}
 
+	private lineOf({rank, isStarted}: Pick<Waiter, 'rank' | 'isStarted'>): number {
+		return Math.min(rank, this.floors.length - 1) * 2 + (isStarted ? 0 : 1);
+	}
+
 	private nextRank(): number | undefined {
 		const total = this.served.reduce((sum, served) => sum + served, 0);
 		let first: number | undefined;
-		for (const [rank, waiting] of this.ranks.entries()) {
-			if (waiting.length === 0) {
+		for (const [rank, floor] of this.floors.entries()) {
+			if (this.lines[rank * 2]!.length + this.lines[rank * 2 + 1]!.length === 0) {
 				continue;
 			}
 
-			if (this.served[rank]! < (this.floors[rank] ?? 0) * total) {
+			if (this.served[rank]! < floor * total) {
 				return rank;
 			}
 
@@ -149,3 +156,5 @@
 		this.served = this.served.map(served => served * share);
 	}
 }
+
+const emptyLines = (ranks: number): Waiter[][] => Array.from({length: ranks * 2}, () => []);
--- a/packages/control/test/key-ledger.test.ts
+++ b/packages/control/test/key-ledger.test.ts
@@ -30,6 +30,7 @@
 	}),
 	fc.record({kind: fc.constant('wait' as const), ms: fc.nat(800)}),
 	fc.record({kind: fc.constant('replace' as const)}),
+	fc.record({kind: fc.constant('handOver' as const)}),
 );
 
 test('no order of sends, losses, waits and replacements runs a key twice', () => {
@@ -71,6 +72,19 @@
 						break;
 					}
 
+					case 'handOver': {
+						incarnation++;
+						const heir = create(clock, 'a', incarnation, `s${incarnation}`);
+						const {estates, records} = ledger.handOver();
+						heir.takeRecords(records);
+						heir.adopt(estates);
+						const closed = ledger.begin(keys[0]!, 'print');
+						assert.notEqual(closed.isOk() && closed.value.state, keyStates.unused);
+						ledger = heir;
+						running.clear();
+						break;
+					}
+
 					case 'replace': {
 						incarnation++;
 						ledger = create(clock, 'a', incarnation, `s${incarnation}`);
@@ -141,6 +155,23 @@
 	assert.equal(ledger.size, 0);
 });
 
+test('an heir starts the unused keys of a closed ledger, and answers the used ones', async () => {
+	const clock = ManualClock.at(0);
+	const [before, heir] = [create(clock), create(clock, 'b', 2, 's2')];
+	const [used, open, fresh] = [before, before, before].map(ledger => parse(ledger.issue()));
+	before.begin(used!, 'print');
+	before.finish(used!, 'paid');
+	before.begin(open!, 'print');
+	const {estates, records} = before.handOver();
+	heir.takeRecords(records);
+	assert.equal(heir.begin(fresh!, 'print')._unsafeUnwrapErr().kind, faultKinds.keyUnknown);
+	heir.adopt(estates);
+	assert.equal(heir.begin(used!, 'print')._unsafeUnwrap().state, keyStates.done);
+	assert.equal(heir.begin(open!, 'print')._unsafeUnwrap().state, keyStates.unknown);
+	assert.equal(heir.begin(fresh!, 'print')._unsafeUnwrap().state, keyStates.unused);
+	assert.equal(before.begin(fresh!, 'print')._unsafeUnwrap().state, keyStates.unknown);
+});
+
 test('malformed keys are faults, whatever their text', () => {
 	fc.assert(
 		fc.property(fc.string({unit: 'binary'}), text => {
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -8,6 +8,8 @@
 	nodeDraining: define('MS1002', 'info', 'node is draining'),
 	nodeStopped: define('MS1003', 'info', 'node stopped'),
 	settingsRejected: define('MS1004', 'error', 'settings were rejected'),
+	keysHandedOver: define('MS1005', 'info', 'idempotency keys were handed over'),
+	keysLost: define('MS1006', 'warn', 'idempotency keys were not handed over'),
 	taskFailed: define('MS1101', 'warn', 'task failed and will be restarted'),
 	taskGaveUp: define('MS1102', 'error', 'task failed too often; its supervisor stops'),
 	taskStopTimeout: define('MS1103', 'warn', 'task did not stop in time'),
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -1,17 +1,19 @@
-import {type Clock, type Log, type Random, events, pick, rendezvous} from '@medlarsaddle/core';
+import {type Clock, type Log, type Random, pick} from '@medlarsaddle/core';
+import {Acks} from './acks.js';
 import type {Address} from './address.js';
-import {Contacts} from './contacts.js';
+import type {Contacts} from './contacts.js';
 import type {Datagram} from './datagram.js';
 import {datagramTypes} from './datagram-types.js';
+import {Differences} from './differences.js';
 import {gossipTiming} from './gossip-timing.js';
 import {HeldCounts} from './held-counts.js';
+import {Knowledge} from './knowledge.js';
 import type {Member} from './member.js';
 import {memberStates} from './member-states.js';
-import {MemberTable} from './member-table.js';
+import type {MemberTable} from './member-table.js';
+import {Roles} from './roles.js';
 import type {Rumor} from './rumor.js';
 import {rumorKinds} from './rumor-kinds.js';
-import {RumorQueue} from './rumor-queue.js';
-import {supersedes} from './supersedes.js';
 
 type Opts = {
 	readonly clock: Clock;
@@ -37,8 +39,6 @@
 const fanOut = 3;
 const indirectProbes = 3;
 const gatewayCount = 2;
-const lastingDifferences = 4;
-const enoughContacts = 2;
 
 /**
  * Membership of a data centre and the spread of news in it, by probes of random members over
@@ -55,32 +55,41 @@
 		return new Gossip(opts);
 	}
 
-	readonly table: MemberTable;
-	readonly contacts = Contacts.create();
+	private readonly knowledge: Knowledge;
+	private readonly roles: Roles;
+	private readonly acks: Acks;
+	private readonly differences: Differences;
 	private readonly held = HeldCounts.create();
-	private me: Member;
-	private readonly queue: RumorQueue;
-	private readonly acks = new Map<number, () => void>();
 	private readonly heardMs = new Map<string, number>();
 	private order: string[] = [];
 	private seq = 0;
-	private syncedMs = Number.NEGATIVE_INFINITY;
-	private readonly chosen = new Map<string, boolean>();
-	private chosenAmong: readonly Member[] | undefined;
-	private differences = 0;
-	private hasSynced = false;
 	private contactedMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly opts: Opts) {
-		this.table = MemberTable.create(opts.clock);
-		this.queue = RumorQueue.create(opts.sizeOf);
-		this.me = opts.self;
-		this.table.merge(this.me);
+		this.knowledge = Knowledge.create({
+			...opts,
+			onRefuted: rumor => {
+				this.spread(rumor);
+			},
+		});
+		this.roles = Roles.create(this.knowledge.table, opts.self.id);
+		this.acks = Acks.create(opts.clock);
+		this.differences = Differences.create(opts.clock);
+	}
+
+	/** Members of this data centre as far as they are known. */
+	get table(): MemberTable {
+		return this.knowledge.table;
+	}
+
+	/** Members of other data centres that are known. */
+	get contacts(): Contacts {
+		return this.knowledge.contacts;
 	}
 
 	/** This node's own record. */
 	get self(): Member {
-		return this.me;
+		return this.knowledge.self;
 	}
 
 	/** Whether this node is one of the few that talk to other data centres. */
@@ -90,21 +99,7 @@
 
 	/** Whether this node is among the `count` that every node would choose for a role. */
 	isChosen(role: string, count: number): boolean {
-		// The answer changes only with the list of members, and is asked for with each message.
-		if (this.chosenAmong !== this.table.alive) {
-			this.chosenAmong = this.table.alive;
-			this.chosen.clear();
-		}
-
-		const known = this.chosen.get(role);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const ids = this.table.alive.map(({id}) => id);
-		const isChosen = rendezvous(role, ids, count).includes(this.me.id);
-		this.chosen.set(role, isChosen);
-		return isChosen;
+		return this.roles.isChosen(role, count);
 	}
 
 	/** Milliseconds since a data centre was last heard of; -1 when it never was. */
@@ -114,18 +109,14 @@
 	}
 
 	/** Changes this node's own record and tells the others at once. */
-	readonly update = (
-		change: Partial<Pick<Member, 'offers' | 'state' | 'httpPort' | 'peerPort'>>,
-	): void => {
-		this.me = {...this.me, ...change, version: this.me.version + 1};
-		this.table.merge(this.me);
-		this.opts.onMembersChanged();
-		this.spread({kind: rumorKinds.member, member: this.me});
+	readonly update = (change: Partial<Pick<Member, 'inherits' | 'offers' | 'state'>>): void => {
+		this.knowledge.changeSelf(change);
+		this.spread(this.ownRumor());
 	};
 
 	/** Spreads a rumor: to a few members at once, then along with the probes. */
 	readonly spread = (rumor: Rumor): void => {
-		this.queue.add(rumor);
+		this.knowledge.queue.add(rumor);
 		this.push();
 	};
 
@@ -157,7 +148,7 @@
 			}
 
 			case datagramTypes.ack: {
-				this.acks.get(datagram.seq)?.();
+				this.acks.settle(datagram.seq);
 				if (datagram.isStranger) {
 					this.opts.send(from, this.datagram(datagramTypes.news, [this.ownRumor()]));
 				}
@@ -189,15 +180,15 @@
 	/** Takes in members that were fetched from another node. */
 	readonly mergeMembers = (members: readonly Member[]): void => {
 		for (const member of members) {
-			this.learnMember(member);
+			this.knowledge.learnMember(member);
 		}
 	};
 
 	/** Tells the member that collects for a section version that it is in force here. */
 	readonly reportHeld = (name: string, version: number): void => {
 		const collector = this.collectorOf(name, version);
-		if (collector.id === this.me.id) {
-			this.held.add(name, version, this.me.id);
+		if (collector.id === this.self.id) {
+			this.held.add(name, version, this.self.id);
 			return;
 		}
 
@@ -207,9 +198,7 @@
 
 	/** The member that collects who has a section version in force. */
 	collectorOf(name: string, version: number): Member {
-		const ids = this.table.alive.map(({id}) => id);
-		const [chosen] = rendezvous(`held ${name} ${version}`, ids, 1);
-		return this.table.get(chosen ?? this.me.id) ?? this.me;
+		return this.roles.holderOf(`held ${name} ${version}`) ?? this.self;
 	}
 
 	/** Members of this data centre that told this node that they have a section version in force. */
@@ -233,7 +222,7 @@
 	}
 
 	private ownRumor(): Rumor {
-		return {kind: rumorKinds.member, member: this.me};
+		return {kind: rumorKinds.member, member: this.self};
 	}
 
 	private greetSeeds(): void {
@@ -246,20 +235,20 @@
 		return {
 			type,
 			seq,
-			from: this.me.id,
-			dataCentre: this.me.dataCentre,
+			from: this.self.id,
+			dataCentre: this.self.dataCentre,
 			digests: [this.table.digest, this.opts.sectionsDigest()],
 			rumors,
 		};
 	}
 
 	private news(): Rumor[] {
-		return this.queue.take(rumorBytes, this.table.alive.length);
+		return this.knowledge.queue.take(rumorBytes, this.table.alive.length);
 	}
 
 	/** Sends pending news to a few random members without waiting for the next probe. */
 	private push(): void {
-		const others = this.table.alive.filter(({id}) => id !== this.me.id);
+		const others = this.table.alive.filter(({id}) => id !== this.self.id);
 		for (const target of pick(others, fanOut, this.opts.random)) {
 			const rumors = this.news();
 			if (rumors.length === 0) {
@@ -277,19 +266,23 @@
 	private pushAbroad(): void {
 		for (const dataCentre of this.contacts.dataCentres) {
 			const contact = this.contacts.of(dataCentre)[0];
-			if (contact) {
-				this.opts.send(addressOf(contact), this.datagram(datagramTypes.news, this.foreignNews()));
+			const rumors = this.foreignNews();
+			if (contact && rumors.length > 0) {
+				this.opts.send(
+					addressOf(contact),
+					this.datagram(datagramTypes.news, [this.ownRumor(), ...rumors]),
+				);
 			}
 		}
 	}
 
-	/** News for other data centres: members stay at home, save the few that serve as contacts. */
+	/** News for other data centres; members are known at home only. */
 	private foreignNews(): Rumor[] {
-		return [this.ownRumor(), ...this.news().filter(({kind}) => kind !== rumorKinds.member)];
+		return this.news().filter(({kind}) => kind !== rumorKinds.member);
 	}
 
 	private answer(ping: Datagram, from: Address): void {
-		const isHome = ping.dataCentre === this.me.dataCentre;
+		const isHome = ping.dataCentre === this.self.dataCentre;
 		const known = isHome ? this.table.get(ping.from) : undefined;
 		const isDown = known && known.state !== memberStates.alive;
 		const rumors = isHome
@@ -307,8 +300,8 @@
 
 	/** A few members of this data centre, for one in another to keep as contacts. */
 	private contactsOffered(): Rumor[] {
-		const others = this.table.alive.filter(({id}) => id !== this.me.id);
-		const offered = [this.me, ...pick(others, 2, this.opts.random)];
+		const others = this.table.alive.filter(({id}) => id !== this.self.id);
+		const offered = [this.self, ...pick(others, 2, this.opts.random)];
 		return offered.map(member => ({kind: rumorKinds.contact, member}));
 	}
 
@@ -318,115 +311,33 @@
 	}
 
 	private learn(rumor: Rumor, sender: Member | undefined): boolean {
-		switch (rumor.kind) {
-			case rumorKinds.member: {
-				return this.learnMember(rumor.member);
-			}
-
-			case rumorKinds.contact: {
-				return this.learnContact(rumor.member);
-			}
-
-			case rumorKinds.section:
-			case rumorKinds.suspect: {
-				const isNews = this.opts.onRumor(rumor, sender);
-				if (isNews) {
-					this.queue.add(rumor);
-				}
-
-				return isNews;
-			}
-		}
-	}
-
-	private learnMember(heard: Member): boolean {
-		if (heard.dataCentre !== this.me.dataCentre) {
-			return this.learnContact(heard);
-		}
-
-		if (heard.id === this.me.id) {
-			this.learnOfSelf(heard);
-			return false;
-		}
-
-		const before = this.table.get(heard.id);
-		if (!this.table.merge(heard)) {
-			return false;
+		if (rumor.kind === rumorKinds.member || rumor.kind === rumorKinds.contact) {
+			return this.knowledge.learn(rumor);
 		}
 
-		this.logChange(before, heard);
-		this.queue.add({kind: rumorKinds.member, member: heard});
-		this.opts.onMembersChanged();
-		return true;
-	}
-
-	/** Takes in a member of another data centre; passes it on while few of that one are known. */
-	private learnContact(member: Member): boolean {
-		const known = this.contacts.of(member.dataCentre).length;
-		if (member.dataCentre === this.me.dataCentre || !this.contacts.merge(member)) {
-			return false;
-		}
-
-		this.opts.onMembersChanged();
-		if (known >= enoughContacts) {
-			return false;
-		}
-
-		this.queue.add({kind: rumorKinds.contact, member});
-		return true;
-	}
-
-	private learnOfSelf(heard: Member): void {
-		if (heard.incarnation > this.me.incarnation) {
-			this.opts.onReplaced();
-			return;
-		}
-
-		if (heard.incarnation === this.me.incarnation && supersedes(heard, this.me)) {
-			this.opts.log(events.memberRefuted, {heard: heard.state});
-			this.me = {...this.me, version: heard.version + 1};
-			this.table.merge(this.me);
-			this.spread(this.ownRumor());
+		const isNews = this.opts.onRumor(rumor, sender);
+		if (isNews) {
+			this.knowledge.queue.add(rumor);
 		}
-	}
 
-	private logChange(before: Member | undefined, heard: Member): void {
-		const fields = {member: heard.id, state: heard.state, incarnation: heard.incarnation};
-		if (heard.state === memberStates.suspect) {
-			this.opts.log(events.memberSuspected, fields);
-		} else if (heard.state !== memberStates.alive) {
-			this.opts.log(events.memberLeft, fields);
-		} else if (before?.incarnation !== heard.incarnation) {
-			this.opts.log(events.memberJoined, fields);
-		}
+		return isNews;
 	}
 
 	private senderOf({dataCentre, from}: Datagram): Member | undefined {
-		return dataCentre === this.me.dataCentre
+		return dataCentre === this.self.dataCentre
 			? this.table.get(from)
 			: this.contacts.of(dataCentre).find(({id}) => id === from);
 	}
 
-	/**
-	 * Asks a sender that holds something else for it. News takes a moment to arrive, so only a
-	 * difference that lasts is acted on, save by a node that knows no one yet.
-	 */
+	/** Asks a sender that holds something else for it, when the difference lasts. */
 	private compare({dataCentre, digests}: Datagram, sender: Member | undefined): void {
 		const [members, sections] = digests;
-		const isHome = dataCentre === this.me.dataCentre;
+		const isHome = dataCentre === this.self.dataCentre;
 		const differs =
 			sections !== this.opts.sectionsDigest() || (isHome && members !== this.table.digest);
-		this.differences = differs ? this.differences + 1 : 0;
-		const nowMs = this.opts.clock.monotonic();
-		const isLasting = this.differences >= lastingDifferences || !this.hasSynced;
-		if (!sender || !isLasting || nowMs - this.syncedMs < gossipTiming.syncIntervalMs) {
-			return;
+		if (sender && this.differences.isDue(differs)) {
+			this.opts.onDiffers(sender);
 		}
-
-		this.hasSynced = true;
-		this.differences = 0;
-		this.syncedMs = nowMs;
-		this.opts.onDiffers(sender);
 	}
 
 	private nextTarget(): Member | undefined {
@@ -437,7 +348,7 @@
 			}
 		}
 
-		const others = this.table.alive.filter(({id}) => id !== this.me.id).map(({id}) => id);
+		const others = this.table.alive.filter(({id}) => id !== this.self.id).map(({id}) => id);
 		this.order = pick(others, others.length, this.opts.random);
 		const next = this.order.pop();
 		return next === undefined ? undefined : this.table.get(next);
@@ -454,9 +365,9 @@
 			return;
 		}
 
-		const helpers = this.table.alive.filter(({id}) => id !== this.me.id && id !== target.id);
+		const helpers = this.table.alive.filter(({id}) => id !== this.self.id && id !== target.id);
 		const seq = this.seq++;
-		const acked = this.awaitAck(seq);
+		const acked = this.acks.within(seq, gossipTiming.ackTimeoutMs);
 		for (const helper of pick(helpers, indirectProbes, this.opts.random)) {
 			const request = this.datagram(datagramTypes.pingRequest, [], seq);
 			this.opts.send(addressOf(helper), {...request, target: target.id});
@@ -465,7 +376,7 @@
 		const isUp = await acked;
 		const current = this.table.get(target.id);
 		if (!isUp && !signal.aborted && current?.state === memberStates.alive) {
-			this.learnMember({...current, state: memberStates.suspect});
+			this.knowledge.learnMember({...current, state: memberStates.suspect});
 			this.push();
 		}
 	}
@@ -480,30 +391,11 @@
 
 	private async ping(to: Address, rumors: readonly Rumor[]): Promise<boolean> {
 		const seq = this.seq++;
-		const acked = this.awaitAck(seq);
+		const acked = this.acks.within(seq, gossipTiming.ackTimeoutMs);
 		this.opts.send(to, this.datagram(datagramTypes.ping, rumors, seq));
 		return acked;
 	}
 
-	private async awaitAck(seq: number): Promise<boolean> {
-		const timer = new AbortController();
-		const acked = new Promise<boolean>(resolve => {
-			this.acks.set(seq, () => {
-				resolve(true);
-			});
-		});
-		const late = this.opts.clock.sleep(gossipTiming.ackTimeoutMs, timer.signal).then(
-			() => false,
-			() => false,
-		);
-		try {
-			return await Promise.race([acked, late]);
-		} finally {
-			timer.abort();
-			this.acks.delete(seq);
-		}
-	}
-
 	/** As a gateway, probes one contact of each other data centre and the seeds of unknown ones. */
 	private async probeContacts(): Promise<void> {
 		if (!this.isGateway) {
@@ -516,7 +408,7 @@
 			this.greetSeeds();
 			for (const dataCentre of this.contacts.dataCentres) {
 				for (const member of this.contacts.of(dataCentre).slice(0, 2)) {
-					this.queue.add({kind: rumorKinds.contact, member});
+					this.knowledge.queue.add({kind: rumorKinds.contact, member});
 				}
 			}
 		}
@@ -524,7 +416,10 @@
 		await Promise.all(
 			this.contacts.dataCentres.map(async dataCentre => {
 				const contact = this.contacts.of(dataCentre)[0];
-				if (contact && !(await this.ping(addressOf(contact), this.foreignNews()))) {
+				if (
+					contact &&
+					!(await this.ping(addressOf(contact), [this.ownRumor(), ...this.foreignNews()]))
+				) {
 					this.contacts.demote(contact.id);
 				}
 			}),
@@ -533,7 +428,7 @@
 
 	private expire(): void {
 		for (const member of this.table.overdueSuspects(gossipTiming.suspicionMs)) {
-			this.learnMember({...member, state: memberStates.dead});
+			this.knowledge.learnMember({...member, state: memberStates.dead});
 			this.push();
 		}
 
--- a/packages/members/src/member.ts
+++ b/packages/members/src/member.ts
@@ -18,4 +18,6 @@
 	readonly version: number;
 	readonly state: (typeof memberStates)[keyof typeof memberStates];
 	readonly offers: readonly OfferedService[];
+	/** Issuing processes whose keys it has taken over. */
+	readonly inherits?: readonly string[];
 };
--- a/packages/node/src/calls/carrier.ts
+++ b/packages/node/src/calls/carrier.ts
@@ -62,20 +62,22 @@
 		const ratio = this.ratioOf(request.service);
 		ratio.countFirst();
 		let freeChoices = 0;
+		let mayHaveRun = false;
 		let last = refusalOf(noEndpoint, runStates.notRun, 0, {retryAfterMs: 1000});
 		for (;;) {
 			const endpoint = this.choose(request.service, tried);
 			const remainingMs = endMs - clock.monotonic();
 			if (!endpoint || remainingMs <= 0 || signal.aborted) {
-				return {...last, unspent: allowance.remaining};
+				return ended(last, mayHaveRun, allowance);
 			}
 
 			tried.add(endpoint.node);
 			const attempt = {...request, remainingMs, allowance: allowance.split()};
 			last = await this.attempt(endpoint, attempt, signal);
 			allowance.giveBack(last.unspent);
+			mayHaveRun ||= last.result.kind === 'answer' || last.result.run === runStates.unknown;
 			if (!mayRepeat(last, request)) {
-				return {...last, unspent: allowance.remaining};
+				return ended(last, mayHaveRun, allowance);
 			}
 
 			const isFree =
@@ -85,7 +87,7 @@
 			if (isFree) {
 				freeChoices++;
 			} else if (!this.mayRetry(ratio, allowance, tried.size)) {
-				return {...last, unspent: allowance.remaining};
+				return ended(last, mayHaveRun, allowance);
 			}
 
 			this.retries++;
@@ -145,6 +147,17 @@
 	}
 }
 
+/** The last outcome; a refusal says "not-run" only if no earlier try may have run either. */
+const ended = (last: CallOutcome, mayHaveRun: boolean, allowance: Allowance): CallOutcome => {
+	const {result} = last;
+	const run = mayHaveRun ? runStates.unknown : runStates.notRun;
+	return {
+		...last,
+		result: result.kind === 'refusal' ? {...result, run} : result,
+		unspent: allowance.remaining,
+	};
+};
+
 const serverErrors = 500;
 const serviceUnavailable = 503;
 
--- a/packages/node/src/calls/directory.ts
+++ b/packages/node/src/calls/directory.ts
@@ -34,6 +34,11 @@
 		return new Set(this.all.map(({node}) => node));
 	}
 
+	/** The member that has taken over the keys of an issuing process. */
+	heirOf(issuer: string): Member | undefined {
+		return this.gossip().table.alive.find(({inherits}) => inherits?.includes(issuer));
+	}
+
 	/** The member of a node ID, while it is up. */
 	memberOf(node: string): Member | undefined {
 		const member = this.gossip().table.get(node);
--- a/packages/node/src/calls/owner.ts
+++ b/packages/node/src/calls/owner.ts
@@ -1,5 +1,5 @@
-import {Fault, faultKinds, rendezvous} from '@medlarsaddle/core';
-import {Allowance, IssuedKey, type KeyLedger, keyStates} from '@medlarsaddle/control';
+import {type Clock, Fault, faultKinds, rendezvous} from '@medlarsaddle/core';
+import {Allowance, IssuedKey, type KeyLedger, issuerName, keyStates} from '@medlarsaddle/control';
 import type {Gossip, Member} from '@medlarsaddle/members';
 import {
 	type Answer,
@@ -18,6 +18,7 @@
 import type {Directory} from './directory.js';
 
 type Opts = {
+	readonly clock: Clock;
 	readonly ledger: KeyLedger<CallOutcome>;
 	readonly store: AnswerStore;
 	readonly carrier: Carrier;
@@ -26,6 +27,8 @@
 	readonly gossip: Gossip;
 };
 
+const heirNewsMs = 600;
+const heirPollMs = 50;
 const copies = 2;
 const askedHolders = 3;
 const maxCopiedBytes = 64 * 1024;
@@ -152,14 +155,24 @@
 		request: CallRequest,
 		signal: AbortSignal,
 	): Promise<CallOutcome> {
-		const {directory, peers, gossip} = this.opts;
-		const issuer = directory.memberOf(key.parts.node);
-		if (issuer && issuer.id !== gossip.self.id && issuer.incarnation === key.parts.incarnation) {
-			const outcome = await peers.call(issuer, callModes.own, request, signal);
-			if (!isUnreachable(outcome)) {
-				return outcome;
+		const {clock, peers, gossip} = this.opts;
+		const endMs = clock.monotonic() + Math.min(heirNewsMs, request.remainingMs);
+		const asked = new Set<string>();
+		do {
+			const issuer = this.issuerOf(key);
+			if (issuer && issuer.id !== gossip.self.id && !asked.has(issuer.id)) {
+				asked.add(issuer.id);
+				const outcome = await peers.call(issuer, callModes.own, request, signal);
+				if (!isUnreachable(outcome)) {
+					return outcome;
+				}
+			} else if (gossip.self.id === issuer?.id && this.opts.ledger.isIssuer(key)) {
+				return this.runOnce(key, request);
+			} else {
+				// News of a planned stop and of the heir may still be on its way.
+				await clock.sleep(heirPollMs);
 			}
-		}
+		} while (clock.monotonic() < endMs);
 
 		const answer = await this.findAnswer(key, request);
 		return answer
@@ -167,6 +180,15 @@
 			: refusalOf(issuerGone, runStates.unknown, 0);
 	}
 
+	/** The process that may start a key: the one that issued it, or the one that took it over. */
+	private issuerOf({parts: {node, incarnation}}: IssuedKey): Member | undefined {
+		const {directory} = this.opts;
+		const named = directory.memberOf(node);
+		return named?.incarnation === incarnation
+			? named
+			: directory.heirOf(issuerName(node, incarnation));
+	}
+
 	private async passAbroad(
 		key: IssuedKey,
 		request: CallRequest,
--- a/packages/node/src/peers/handlers.ts
+++ b/packages/node/src/peers/handlers.ts
@@ -17,5 +17,6 @@
 	keyDone(message: MessageOf<'key-done'>): void;
 	keyAsk(message: MessageOf<'key-ask'>): Message;
 	count(message: MessageOf<'count'>): Promise<Message>;
+	inherit(message: MessageOf<'inherit'>): Message;
 	drain(message: MessageOf<'drain'>): Message;
 };
--- a/packages/node/src/peers/serve-connection.ts
+++ b/packages/node/src/peers/serve-connection.ts
@@ -75,6 +75,11 @@
 					break;
 				}
 
+				case messageTypes.inherit: {
+					link.send(handlers.inherit(message));
+					break;
+				}
+
 				case messageTypes.drain: {
 					link.send(handlers.drain(message));
 					break;
@@ -86,6 +91,7 @@
 				case messageTypes.synced:
 				case messageTypes.keyTold:
 				case messageTypes.counted:
+				case messageTypes.inherited:
 				case messageTypes.drained: {
 					break;
 				}
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -7,6 +7,7 @@
 import {type Member, memberStates} from '@medlarsaddle/members';
 import type {Section} from '@medlarsaddle/policy';
 import {asValue, createContainer} from 'awilix';
+import {handOverKeys} from '../calls/hand-over-keys.js';
 import type {Settings} from '../settings/settings.js';
 import {bindPorts} from './bind-ports.js';
 import type {Cradle} from './cradle.js';
@@ -130,7 +131,7 @@
 
 	/**
 	 * Leaves in order: tells the others, takes no new work, waits for what is in flight up to the
-	 * time that the settings allow, then ends.
+	 * time that the settings allow, hands its keys over, then ends.
 	 */
 	async stop(): Promise<void> {
 		const {lifecycle, slot, gossip, clock, log, settings} = this.cradle;
@@ -149,6 +150,8 @@
 			await clock.sleep(leavePollMs);
 		}
 
+		const isHandedOver = await handOverKeys(this.cradle);
+		log(isHandedOver ? events.keysHandedOver : events.keysLost, {keys: this.cradle.ledger.size});
 		gossip.update({state: memberStates.left, offers: []});
 		this.abort.abort(new Error('The node stops'));
 		await this.ended;
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -40,8 +40,8 @@
 				boundsRetries: settings.admission === 'on',
 			}),
 		),
-		owner: once(({ledger, answers, carrier, peers, directory, gossip}) =>
-			Owner.create({ledger, store: answers, carrier, peers, directory, gossip}),
+		owner: once(({clock, ledger, answers, carrier, peers, directory, gossip}) =>
+			Owner.create({clock, ledger, store: answers, carrier, peers, directory, gossip}),
 		),
 		tally: once(({clock}) => Tally.create(clock)),
 		explanations: once(() => Explanations.create()),
@@ -108,7 +108,7 @@
 };
 
 const createHandlers = (cradle: Cradle): Handlers => {
-	const {slot, owner, router, config, gossip, lifecycle} = cradle;
+	const {slot, owner, router, config, gossip, lifecycle, ledger} = cradle;
 	type Handle = Handlers['run'];
 
 	/** A node that was paused refuses what piled up meanwhile, since its callers have moved on. */
@@ -147,6 +147,15 @@
 				: await countHeld(cradle, section, version);
 			return {type: messageTypes.counted, id, ...counts};
 		},
+		inherit({id, records, estates}) {
+			ledger.takeRecords(records);
+			if (estates) {
+				ledger.adopt(estates);
+				gossip.update({inherits: ledger.inheritedIssuers});
+			}
+
+			return {type: messageTypes.inherited, id};
+		},
 		drain({id, draining}) {
 			slot.setDraining(draining);
 			return {type: messageTypes.drained, id};
--- a/packages/node/src/upstream/in-flight-call.ts
+++ b/packages/node/src/upstream/in-flight-call.ts
@@ -17,7 +17,8 @@
 	/** Retries that are left to this call and those below it. */
 	readonly allowance: Allowance;
 	readonly deadlineMs: number;
-	private readonly startMs: number;
+	/** When it started, in monotonic milliseconds. */
+	readonly startMs: number;
 	private heard: Cutoffs | undefined;
 	private openChildren = 0;
 	private childStartMs = 0;
--- a/packages/node/src/upstream/pool.ts
+++ b/packages/node/src/upstream/pool.ts
@@ -30,6 +30,7 @@
 	}
 
 	private idle: Connection[] = [];
+	private trustedFromMs = Number.NEGATIVE_INFINITY;
 	private readonly all = new Set<Connection>();
 
 	private constructor(private readonly opts: Opts) {}
@@ -59,11 +60,13 @@
 			const nowMs = this.opts.clock.monotonic();
 			const ageMs = nowMs - connection.provenMs;
 			const isFresh = ageMs < provenForMs;
-			if (connection.isUsable && ageMs < staleAfterMs && (isFresh || !mustBeProven)) {
+			const isDoubted = connection.provenMs < this.trustedFromMs;
+			const isTrusted = isFresh || !mustBeProven;
+			if (connection.isUsable && ageMs < staleAfterMs && isTrusted && !isDoubted) {
 				return connection;
 			}
 
-			if (connection.isUsable && mustBeProven && (await this.probe(connection))) {
+			if (connection.isUsable && (mustBeProven || isDoubted) && (await this.probe(connection))) {
 				return connection;
 			}
 
@@ -71,6 +74,11 @@
 		}
 	}
 
+	/** Trusts no connection any more before it has answered again; one of them went silent. */
+	doubtAll(): void {
+		this.trustedFromMs = this.opts.clock.monotonic();
+	}
+
 	/** Puts back a connection that can be used again, or forgets one that can't. */
 	giveBack(connection: Connection): void {
 		if (connection.isUsable && this.all.size <= this.opts.maxConnections) {
--- /dev/null
+++ b/packages/node/src/upstream/slot-faults.ts
@@ -0,0 +1,25 @@
+import {Fault, faultKinds} from '@medlarsaddle/core';
+
+/** Why a slot refuses a call before its upstream has seen it. */
+export const slotFaults = {
+	notHere: Fault.of(
+		faultKinds.noEndpoint,
+		'This host does not serve the service any more',
+		'Send the call again; it will go to another host',
+	),
+	draining: Fault.of(
+		faultKinds.draining,
+		'This host is leaving and takes no new work',
+		'Send the call again; it will go to another host',
+	),
+	held: Fault.of(
+		faultKinds.quarantined,
+		'Requests with this content are held back because they crashed upstreams',
+		'Report it to the operators; `medlarsaddle status` lists it with its end',
+	),
+	suspectBusy: Fault.of(
+		faultKinds.overloaded,
+		'A request with this content may have crashed an upstream, and another such request runs here',
+		'Send it again in a second',
+	),
+} as const;
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -1,12 +1,16 @@
-import {type Clock, type Log, Fault, events, faultKinds} from '@medlarsaddle/core';
+import {type Clock, type Log, type Fault, events, faultKinds} from '@medlarsaddle/core';
 import {Admission, Cutoffs, type Quarantine} from '@medlarsaddle/control';
 import {type CallOutcome, type CallRequest, type Refusal, runStates} from '@medlarsaddle/wire';
 import type {z} from 'zod';
 import type {announcement} from './announcement.js';
+import {CrashWatch} from './crash-watch.js';
 import {fingerprint} from './fingerprint.js';
 import type {InFlight} from './in-flight.js';
 import type {InFlightCall} from './in-flight-call.js';
+import {loadOf} from './load-of.js';
 import {Pool} from './pool.js';
+import {SilenceWatch} from './silence-watch.js';
+import {slotFaults} from './slot-faults.js';
 
 type Announcement = z.infer<typeof announcement>;
 
@@ -26,13 +30,6 @@
 	readonly onSuspects: (suspects: ReturnType<Quarantine['crashed']>) => void;
 };
 
-type Lost = {
-	readonly fingerprint: string;
-	readonly service: string;
-	readonly job: string;
-	readonly atMs: number;
-};
-
 type Serving = {
 	readonly announcement: Announcement;
 	readonly pool: Pool;
@@ -44,11 +41,6 @@
 /** An upstream that renewed its announcement this lately needs no probe. */
 const renewalMs = 3000;
 const unhealthyProbes = 3;
-const slowFactor = 8;
-
-/** How long a lost call may be older than the crash that took it. */
-const lostForMs = 3000;
-const minAbandonMs = 300;
 
 /**
  * The place of the one upstream that runs on this node's host: its announcement, its admission and
@@ -70,11 +62,16 @@
 	private failedProbes = 0;
 	private isNodeDraining = false;
 	private suspectRunning = false;
-	private crashes = 0;
-	private lost: Lost[] = [];
-	private isCheckingCrash = false;
-
-	private constructor(private readonly opts: Opts) {}
+	private readonly silence: SilenceWatch;
+	private readonly crashes: CrashWatch;
+
+	private constructor(private readonly opts: Opts) {
+		this.silence = SilenceWatch.create(opts.clock);
+		this.crashes = CrashWatch.create({
+			...opts,
+			isAnswering: async () => (await this.serving?.pool.isAnswering()) ?? true,
+		});
+	}
 
 	/** What the upstream announced, if there is one. */
 	get announced(): Announcement | undefined {
@@ -121,7 +118,7 @@
 		}
 
 		if (before && before.instance !== next.instance) {
-			this.crashed();
+			this.crashes.crashed();
 		}
 
 		this.serving?.pool.destroy();
@@ -195,11 +192,11 @@
 	async run(request: CallRequest, signal: AbortSignal): Promise<CallOutcome> {
 		const {serving} = this;
 		if (serving?.announcement.service !== request.service) {
-			return this.refuse(request, notHere);
+			return this.refuse(request, slotFaults.notHere);
 		}
 
 		if (this.isDraining) {
-			return this.refuse(request, draining);
+			return this.refuse(request, slotFaults.draining);
 		}
 
 		const suspicion = this.suspicionOf(request);
@@ -215,6 +212,12 @@
 			return this.refuse(request, permit.error);
 		}
 
+		// Another suspect may have started while this one waited.
+		if (suspicion.isSuspect && this.suspectRunning) {
+			admission.leave(request.job, undefined);
+			return this.refuse(request, slotFaults.suspectBusy);
+		}
+
 		this.suspectRunning ||= suspicion.isSuspect;
 		try {
 			return await this.execute(
@@ -266,11 +269,13 @@
 
 		const print = fingerprint(request);
 		if (quarantine.isHeld(print)) {
-			return {refusal: held, isSuspect: true};
+			return {refusal: slotFaults.held, isSuspect: true};
 		}
 
 		const isSuspect = quarantine.isSuspect(print);
-		return isSuspect && this.suspectRunning ? {refusal: suspectBusy, isSuspect} : {isSuspect};
+		return isSuspect && this.suspectRunning
+			? {refusal: slotFaults.suspectBusy, isSuspect}
+			: {isSuspect};
 	}
 
 	private async execute(
@@ -282,7 +287,8 @@
 		const {admission, pool} = serving;
 		const connection = await pool.take(!request.idempotent);
 		const {token, call} = inFlight.open(request, signal);
-		const watch = this.watchSilence(admission, call, signal);
+		const usualMs = request.idempotent ? admission.usualMs(request.job) : undefined;
+		const watch = this.silence.watch({call, pool, usualMs, signal});
 		this.started++;
 		const answer = await connection.send({
 			method: request.method,
@@ -301,6 +307,7 @@
 		inFlight.close(token);
 		pool.giveBack(connection);
 		if (answer.isOk()) {
+			this.silence.noteEnded(call);
 			admission.leave(request.job, call.ownMs);
 			return this.outcome(admission, call, answer.value);
 		}
@@ -308,7 +315,7 @@
 		admission.leave(request.job, undefined);
 		const {fault, mayHaveRun, wasClosed} = answer.error;
 		if (wasClosed) {
-			this.noteLost(request);
+			this.crashes.noteLost(request);
 		}
 
 		const isDeadline = signal.aborted || watch.signal.aborted;
@@ -322,74 +329,6 @@
 		});
 	}
 
-	/** Gives a call up at its deadline, and an idempotent one when its connection seems silent. */
-	private watchSilence(
-		admission: Admission,
-		call: InFlightCall,
-		signal: AbortSignal,
-	): {readonly signal: AbortSignal; stop(): void} {
-		const {request} = call;
-		const usualMs = admission.usualMs(request.job);
-		const patienceMs =
-			request.idempotent && usualMs !== undefined
-				? Math.min(request.remainingMs, Math.max(minAbandonMs, usualMs * slowFactor))
-				: request.remainingMs;
-		const abort = new AbortController();
-		const giveUp = () => {
-			abort.abort();
-		};
-
-		const stopTimer = this.opts.clock.after(Math.max(1, patienceMs), () => {
-			// Waiting for a service downstream is no sign of silence.
-			if (patienceMs >= request.remainingMs || call.ownMs >= patienceMs) {
-				giveUp();
-			}
-		});
-		signal.addEventListener('abort', giveUp, {once: true});
-		return {
-			signal: abort.signal,
-			stop() {
-				stopTimer();
-				signal.removeEventListener('abort', giveUp);
-			},
-		};
-	}
-
-	/** Collects the calls that a closed connection took along, then finds out whether it was a crash. */
-	private noteLost(request: CallRequest): void {
-		const {service, job} = request;
-		const atMs = this.opts.clock.monotonic();
-		this.lost = this.lost.filter(call => call.atMs > atMs - lostForMs);
-		this.lost.push({fingerprint: fingerprint(request), service, job, atMs});
-		if (!this.isCheckingCrash) {
-			this.isCheckingCrash = true;
-			void this.checkCrash();
-		}
-	}
-
-	private async checkCrash(): Promise<void> {
-		// An upstream that is up again already tells of the crash by its new instance.
-		const isUp = (await this.serving?.pool.isAnswering()) ?? true;
-		this.isCheckingCrash = false;
-		if (!isUp) {
-			this.crashed();
-		}
-	}
-
-	private crashed(): void {
-		const oldestMs = this.opts.clock.monotonic() - lostForMs;
-		const lost = this.lost.filter(({atMs}) => atMs > oldestMs);
-		this.lost = [];
-		if (lost.length === 0) {
-			return;
-		}
-
-		this.crashes++;
-		const crashId = `${this.opts.node}:${Math.floor(this.opts.clock.now())}:${this.crashes}`;
-		this.opts.log(events.upstreamCrashed, {inFlight: lost.length, crashId});
-		this.opts.onSuspects(this.opts.quarantine.crashed(crashId, lost));
-	}
-
 	private outcome(
 		admission: Admission,
 		call: InFlightCall,
@@ -422,27 +361,3 @@
 		};
 	}
 }
-
-const loadOf = (admission: Admission): number =>
-	(admission.inFlight + admission.waiting) / Math.max(1, admission.limitValue);
-
-const notHere = Fault.of(
-	faultKinds.noEndpoint,
-	'This host does not serve the service any more',
-	'Send the call again; it will go to another host',
-);
-const draining = Fault.of(
-	faultKinds.draining,
-	'This host is leaving and takes no new work',
-	'Send the call again; it will go to another host',
-);
-const held = Fault.of(
-	faultKinds.quarantined,
-	'Requests with this content are held back because they crashed upstreams',
-	'Report it to the operators; `medlarsaddle status` lists it with its end',
-);
-const suspectBusy = Fault.of(
-	faultKinds.overloaded,
-	'A request with this content may have crashed an upstream, and another such request runs here',
-	'Send it again in a second',
-);
--- a/packages/testbed/src/bench/overload-scenario.ts
+++ b/packages/testbed/src/bench/overload-scenario.ts
@@ -1,6 +1,7 @@
 import type {Shot} from '../callers/shot.js';
 import type {Deployment} from '../deploy/deployment.js';
 import type {Fleet} from '../deploy/fleet.js';
+import {countFaults} from './count-faults.js';
 import {experiment} from './experiment.js';
 import {recovery} from './recovery.js';
 import type {Scenario} from './scenario.js';
@@ -90,6 +91,7 @@
 			goodputOfCapacity: Number((view.all.goodPerSecond / view.capacity).toFixed(3)),
 			recoveryMs: view.recoveryMs,
 			amplification: view.amplification,
+			faults: countFaults(outcome.shots),
 			wastedShare: Number((wasted / Math.max(1, runs + wasted)).toFixed(4)),
 			doubles,
 			falseNotRun,
--- a/packages/testbed/src/bench/steady.ts
+++ b/packages/testbed/src/bench/steady.ts
@@ -1,4 +1,5 @@
 import type {Deployment} from '../deploy/deployment.js';
+import {countFaults} from './count-faults.js';
 import {experiment} from './experiment.js';
 import type {Scenario} from './scenario.js';
 import {summarize} from './summarize.js';
@@ -65,6 +66,7 @@
 		doubles: outcome.doubles,
 		falseNotRun: outcome.falseNotRun,
 		wrong: outcome.wrong,
+		faults: countFaults(outcome.shots),
 		platformCalls: outcome.platformCalls,
 	};
 };
--- /dev/null
+++ b/packages/testbed/src/capacity/read-results.ts
@@ -0,0 +1,21 @@
+import {z} from 'zod';
+
+const result = z.object({
+	scenario: z.string(),
+	figures: z.record(z.string(), z.unknown()),
+});
+
+/**
+ * Reads the results that the bench printed, each the last line of a file, by scenario.
+ *
+ * @example
+ * const results = readResults([text]);
+ */
+export const readResults = (texts: readonly string[]): Map<string, Record<string, unknown>> =>
+	new Map(
+		texts.map(text => {
+			const line = text.trim().split('\n').at(-1)!;
+			const {scenario, figures} = result.parse(JSON.parse(line));
+			return [scenario, figures];
+		}),
+	);
--- a/packages/testbed/test/faults.test.ts
+++ b/packages/testbed/test/faults.test.ts
@@ -88,6 +88,26 @@
 	assert.equal(runsOf('pay'), 0);
 });
 
+test('keys of a node that stops as planned go on at another, used ones with their answers', async () => {
+	const [leaving, other, third] = await start(
+		place('dc1', 'map'),
+		place('dc1', 'payment'),
+		place('dc1', 'map'),
+	);
+	const used = {'idempotency-key': await issueKey(leaving!)};
+	const fresh = {'idempotency-key': await issueKey(leaving!)};
+	const first = await call(other!, 'payment', {id: 'used'}, used);
+	await leaving!.node.stop();
+	const again = await call(third!, 'payment', {id: 'used'}, used);
+	const later = await call(other!, 'payment', {id: 'fresh'}, fresh);
+	const laterAgain = await call(third!, 'payment', {id: 'fresh'}, fresh);
+	assert.deepEqual(again, first);
+	assert.equal(later.status, 200);
+	assert.deepEqual(laterAgain, later);
+	assert.equal(runsOf('used'), 1);
+	assert.equal(runsOf('fresh'), 1);
+});
+
 test('a key of a data centre that is gone is unknown in another, and never runs there', async () => {
 	const [home, abroad] = await start(place('dc1', 'payment'), place('dc2', 'payment'));
 	await cluster.until(() => abroad!.node.knownDataCentres.includes('dc1'));
@@ -207,6 +227,26 @@
 	assert.ok(replies.every(({status}) => status === 200));
 });
 
+test('a refusal never says "not-run" when an earlier try may have run', async () => {
+	const hosts = await start(place('dc1', 'map'), place('dc1', 'map'), place('dc1', 'payment'));
+	hosts[0]!.node.takeSection({
+		name: 'map',
+		version: 1,
+		changeId: 'c1',
+		author: 'test',
+		atMs: 0,
+		text: idempotentPolicy,
+	});
+	await cluster.until(() => hosts.every(({node}) => node.versionOf('map') === 1));
+	hosts[0]!.upstream.setFaults({truncateShare: 1});
+	hosts[1]!.upstream.crash();
+	for (let index = 0; index < 20; index++) {
+		const id = `tried ${index}`;
+		const {body} = await call(hosts[2]!, 'map', {id}, {'medlar-job': 'LOOK'});
+		assert.ok(body.run === 'unknown' || runsOf(id) === 0, id);
+	}
+});
+
 const garbage = [
 	['a frame of a length out of bounds', Buffer.from('ffffffff00', 'hex')],
 	['a frame that is no MessagePack', Buffer.from('00000003c1c1c1', 'hex')],
--- a/packages/wire/src/message-types.ts
+++ b/packages/wire/src/message-types.ts
@@ -13,6 +13,8 @@
 	keyTold: 'key-told',
 	count: 'count',
 	counted: 'counted',
+	inherit: 'inherit',
+	inherited: 'inherited',
 	drain: 'drain',
 	drained: 'drained',
 } as const;
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -86,6 +86,29 @@
 	readonly members: number;
 };
 
+/** Hands the keys of a node that stops over, in several messages if need be. */
+type Inherit = {
+	readonly type: typeof types.inherit;
+	readonly id: number;
+	readonly records: ReadonlyArray<{
+		readonly key: string;
+		readonly fingerprint: string;
+		readonly atMs: number;
+		readonly answer?: CallOutcome;
+	}>;
+	/** Set in the last message only: from then on the receiver is the issuer. */
+	readonly estates?: ReadonlyArray<{
+		readonly node: string;
+		readonly incarnation: number;
+		readonly secret: string;
+	}>;
+};
+
+type Inherited = {
+	readonly type: typeof types.inherited;
+	readonly id: number;
+};
+
 /** Starts or ends draining of the receiver. */
 type Drain = {
 	readonly type: typeof types.drain;
@@ -117,5 +140,7 @@
 	| KeyTold
 	| Count
 	| Counted
+	| Inherit
+	| Inherited
 	| Drain
 	| Drained;
