--- a/packages/node/src/callers/serve-calls.ts
+++ b/packages/node/src/callers/serve-calls.ts
@@ -11,8 +11,10 @@
 type Deps = {
 	readonly router: Router;
 	readonly issueKey: () => string;
-	/** Why no new work is taken, while the node leaves or has lost its lease. */
+	/** Why no new work is taken, while the node leaves. */
 	readonly closedBy: () => Fault | undefined;
+	/** Resolves when the node may act, after a pause once it has rejoined. */
+	readonly mayAct: () => Promise<void>;
 	readonly isFromUpstream: boolean;
 	readonly track: (call: Promise<void>) => void;
 };
@@ -52,6 +54,7 @@
 				abort.abort(new Error('The caller went away'));
 			}
 		});
+		await deps.mayAct();
 		const originated = await deps.router.originate(incoming.value, abort.signal);
 		const hasKey = incoming.value.key !== undefined;
 		await sendOutcome(reply, originated, hasKey ? deps.issueKey() : undefined);
--- a/packages/node/src/root/lifecycle.ts
+++ b/packages/node/src/root/lifecycle.ts
@@ -7,7 +7,7 @@
 };
 
 /**
- * Whether the node takes new work: not while it leaves, and not after it was paused until it has
+ * Whether the node takes new work: none while it leaves; after it was paused, work waits until it has
  * rejoined. The pause is noticed by whatever asks first.
  *
  * @example
@@ -23,6 +23,7 @@
 	private beatMs: number;
 	private isLeaving = false;
 	private hasLapsed = false;
+	private readonly waiting = new Set<() => void>();
 
 	private constructor(private readonly opts: Opts) {
 		this.beatMs = opts.clock.monotonic();
@@ -46,11 +47,7 @@
 
 	/** Why no new work is taken; undefined when it is. */
 	closedBy(): Fault | undefined {
-		if (this.isLeaving) {
-			return leaving;
-		}
-
-		return this.lapsed ? paused : undefined;
+		return this.isLeaving ? leaving : undefined;
 	}
 
 	/** Notes that the process is being scheduled. */
@@ -62,6 +59,20 @@
 	/** Ends the time after a pause. */
 	rejoined(): void {
 		this.hasLapsed = false;
+		for (const go of this.waiting) {
+			go();
+		}
+
+		this.waiting.clear();
+	}
+
+	/** Resolves once the node may act: at once, or after a pause when it has rejoined. */
+	async mayAct(): Promise<void> {
+		if (this.lapsed) {
+			await new Promise<void>(resolve => {
+				this.waiting.add(resolve);
+			});
+		}
 	}
 
 	/** Starts leaving. */
@@ -91,8 +102,3 @@
 	'This node is leaving and takes no new work',
 	'Send the request to another node',
 );
-const paused = Fault.of(
-	faultKinds.draining,
-	'This node was paused and has not rejoined yet',
-	'Send the request to another node',
-);
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -108,14 +108,27 @@
 };
 
 const createHandlers = (cradle: Cradle): Handlers => {
-	const {slot, owner, router, config, gossip, lifecycle, ledger} = cradle;
+	const {clock, slot, owner, router, config, gossip, lifecycle, ledger} = cradle;
 	type Handle = Handlers['run'];
 
-	/** A node that was paused refuses what piled up meanwhile, since its callers have moved on. */
-	const unlessLapsed =
+	/**
+	 * After a pause, calls wait until the node has rejoined. By then the cancellations that piled up
+	 * behind them have been read as well.
+	 */
+	const onceRejoined =
 		(handle: Handle, run: (typeof runStates)[keyof typeof runStates]): Handle =>
-		async (request, signal): Promise<CallOutcome> =>
-			lifecycle.lapsed ? refusalOf(lapsed, run, request.allowance) : handle(request, signal);
+		async (request, signal): Promise<CallOutcome> => {
+			if (!lifecycle.lapsed) {
+				return handle(request, signal);
+			}
+
+			const startMs = clock.monotonic();
+			await lifecycle.mayAct();
+			const remainingMs = request.remainingMs - (clock.monotonic() - startMs);
+			return signal.aborted || remainingMs <= 0
+				? refusalOf(lapsed, run, request.allowance)
+				: handle({...request, remainingMs}, signal);
+		};
 
 	const tracked =
 		(handle: Handle): Handle =>
@@ -127,10 +140,10 @@
 
 	return {
 		run: tracked(
-			unlessLapsed(async (request, signal) => slot.run(request, signal), runStates.notRun),
+			onceRejoined(async (request, signal) => slot.run(request, signal), runStates.notRun),
 		),
-		own: tracked(unlessLapsed(owner.own, runStates.unknown)),
-		spill: tracked(unlessLapsed(router.spill, runStates.notRun)),
+		own: tracked(onceRejoined(owner.own, runStates.unknown)),
+		spill: tracked(onceRejoined(router.spill, runStates.notRun)),
 		sync: ({id, versions, wantsMembers}) => ({
 			type: messageTypes.synced,
 			id,
@@ -165,6 +178,6 @@
 
 const lapsed = Fault.of(
 	faultKinds.draining,
-	'The node beside the upstream was paused and has not rejoined yet',
+	'The node beside the upstream was paused for longer than the call could wait',
 	'Send the call again; it will go to another host',
 );
--- a/packages/node/src/root/register-fronts.ts
+++ b/packages/node/src/root/register-fronts.ts
@@ -28,11 +28,15 @@
 				router,
 				issueKey,
 				closedBy: () => lifecycle.closedBy(),
+				mayAct: async () => lifecycle.mayAct(),
 				isFromUpstream: false,
 				track: lifecycle.track,
 			});
 			serveKeys(app, issueKey);
-			serveHealth(app, {registry: metrics.registry, isReady: () => !lifecycle.closedBy()});
+			serveHealth(app, {
+				registry: metrics.registry,
+				isReady: () => !lifecycle.closedBy() && !lifecycle.lapsed,
+			});
 			return app;
 		}),
 		upstreamApp: once(({settings, log, router, ledger, lifecycle, slot}) => {
@@ -41,6 +45,7 @@
 				router,
 				issueKey: () => ledger.issue(),
 				closedBy: () => lifecycle.closedBy(),
+				mayAct: async () => lifecycle.mayAct(),
 				isFromUpstream: true,
 				track: lifecycle.track,
 			});
