--- a/packages/client/src/commands/report.ts
+++ b/packages/client/src/commands/report.ts
@@ -1,7 +1,15 @@
+import {writeFile} from 'node:fs/promises';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {GetReportReply, RankReport} from '@medlarsaddle/api';
-import {Command} from 'clipanion';
+import {Fault, errorText, faultKinds} from '@medlarsaddle/core';
+import {Command, Option} from 'clipanion';
+import pc from 'picocolors';
+import {exitCodes} from '../exit-codes.js';
+import {texts} from '../report/texts.js';
 import {NodeCommand} from './node-command.js';
 
+const watchPeriodMs = 5000;
+
 /**
  * `medlarsaddle report`: service-level burn by service and rank.
  *
@@ -13,20 +21,77 @@
 	static override usage = Command.Usage({
 		description: 'Report service-level burn by service and rank',
 		details:
-			'A burn rate of 1 spends the error budget exactly over the period of the objective; above 1 it is spent early.',
+			'A burn rate of 1 spends the error budget exactly over the period of the objective; above 1 it is spent early. Data centres that have stopped reporting are named as missing.',
+		examples: [
+			['Print the report', 'medlarsaddle report'],
+			['Write it as a page with plots', 'medlarsaddle report --html burn.html'],
+			['Print it again every five seconds', 'medlarsaddle report --watch'],
+		],
 	});
 
+	html = Option.String('--html', {description: 'Write a page with plots to this file'});
+	watch = Option.Boolean('--watch', false, {description: 'Print again every 5 s until stopped'});
+
 	override async execute(): Promise<number> {
-		return this.ask(
+		if (!this.watch) {
+			return this.once();
+		}
+
+		const abort = new AbortController();
+		process.once('SIGINT', () => {
+			abort.abort();
+		});
+		let code: number = exitCodes.ok;
+		while (!abort.signal.aborted) {
+			code = await this.once();
+			await delay(watchPeriodMs, undefined, {signal: abort.signal}).catch(() => {});
+		}
+
+		return code;
+	}
+
+	private async once(): Promise<number> {
+		let found: GetReportReply | undefined;
+		const code = await this.ask(
 			async operators => operators.call('getReport', {}),
 			report => {
 				this.printReport(report);
 			},
+			report => {
+				found = report;
+			},
 		);
+		return this.html === undefined || !found ? code : this.writePage(this.html, found);
 	}
 
-	private printReport({ranks, windowsS, sinceMs, scope}: GetReportReply): void {
-		this.print(`${scope}, counted since ${new Date(sinceMs).toISOString()}`);
+	private async writePage(path: string, report: GetReportReply): Promise<number> {
+		// Loaded only here, since the other commands need no charts.
+		const {reportPage} = await import('../report/report-page.js');
+		try {
+			await writeFile(path, reportPage(report));
+			return exitCodes.ok;
+		} catch (error) {
+			return this.fail(
+				Fault.of(
+					faultKinds.badInput,
+					`The page cannot be written (${errorText(error)})`,
+					'Name a file in a directory that exists and may be written to',
+				),
+			);
+		}
+	}
+
+	private printReport(report: GetReportReply): void {
+		const {red} = this.colors;
+		for (const line of texts.coverage(report)) {
+			this.print(line.startsWith('MISSING') ? red(line) : line);
+		}
+
+		if (report.ranks.length === 0) {
+			this.print('No requests were counted');
+			return;
+		}
+
 		this.printTable(
 			[
 				'service',
@@ -36,27 +101,38 @@
 				'refused',
 				'failed',
 				'unknown',
+				'p99 ms',
 				'objective',
-				...windowsS.map(seconds => `burn ${windowName(seconds)}`),
+				...report.windowsS.map(seconds => `burn ${texts.window(seconds)}`),
+				'alert',
+				'budget',
 				'largest cause',
 			],
-			ranks.map(row => rowOf(row)),
+			report.ranks.map(row => this.rowOf(row)),
 		);
 	}
-}
 
-const windowName = (seconds: number): string =>
-	seconds < 3600 ? `${seconds / 60} min` : `${seconds / 3600} h`;
-
-const rowOf = (row: RankReport): string[] => [
-	row.service,
-	row.rank,
-	String(row.good),
-	String(row.late),
-	String(row.refused),
-	String(row.failed),
-	String(row.unknown),
-	`${row.goodShareObjective * 100}%${row.withinMs > 0 ? ` in ${row.withinMs} ms` : ''}`,
-	...row.burn.map(rate => rate.toFixed(1)),
-	row.largestCause,
-];
+	private rowOf(row: RankReport): string[] {
+		const {red, yellow} = this.colors;
+		const paint = {fast: red, slow: yellow}[row.alert] ?? String;
+		return [
+			row.service,
+			row.rank,
+			String(row.good),
+			String(row.late),
+			String(row.refused),
+			String(row.failed),
+			String(row.unknown),
+			String(Math.round(row.p99Ms)),
+			texts.objective(row),
+			...row.burn.map(rate => (rate >= 1 ? paint(rate.toFixed(1)) : rate.toFixed(1))),
+			paint(row.alert),
+			texts.budget(row),
+			texts.cause(row),
+		];
+	}
+
+	private get colors() {
+		return pc.createColors(this.context.colorDepth > 1);
+	}
+}
--- a/packages/control/src/cutoffs.ts
+++ b/packages/control/src/cutoffs.ts
@@ -35,6 +35,11 @@
 		return this.values[Math.min(rank, this.values.length - 1)] ?? cohorts;
 	}
 
+	/** Whether some rank is cut further than any rank of `other`. */
+	isStricterThan(other: Cutoffs): boolean {
+		return Math.min(...this.values) < Math.min(...other.values);
+	}
+
 	/** The stricter of the two for each rank. */
 	strictest(other: Cutoffs): Cutoffs {
 		const length = Math.max(this.values.length, other.values.length);
--- a/packages/control/src/level-book.ts
+++ b/packages/control/src/level-book.ts
@@ -1,8 +1,10 @@
 import {Cutoffs} from './cutoffs.js';
 
 type Entry = {
-	cutoffs: Cutoffs;
-	updatedMs: number;
+	readonly cutoffs: Cutoffs;
+	readonly updatedMs: number;
+	/** The service that the cutoffs were heard of. */
+	readonly by?: string;
 };
 
 const learnGain = 0.3;
@@ -15,7 +17,7 @@
  * cannot last by itself.
  *
  * @example
- * book.learn('rounds', 'PLAN', cutoffs, clock.monotonic());
+ * book.learn('rounds', 'PLAN', {cutoffs, by: 'stalls'}, clock.monotonic());
  */
 export class LevelBook {
 	/** Creates a book that admits everything. */
@@ -43,8 +45,18 @@
 		return recovered;
 	}
 
-	/** Takes in the cutoffs that came back on an answer or a refusal. */
-	learn(service: string, job: string, heard: Cutoffs, nowMs: number): void {
+	/** The service whose cutoffs hold for a job; undefined when it is not known. */
+	presserOf(service: string, job: string): string | undefined {
+		return this.entries.get(keyOf(service, job))?.by;
+	}
+
+	/** Takes in the cutoffs that came back on an answer or a refusal, and whose they are. */
+	learn(
+		service: string,
+		job: string,
+		{cutoffs: heard, by}: {readonly cutoffs: Cutoffs; readonly by?: string},
+		nowMs: number,
+	): void {
 		const known = this.cutoffsFor(service, job, nowMs);
 		if (!known && heard.isOpen) {
 			return;
@@ -52,7 +64,8 @@
 
 		const cutoffs = (known ?? Cutoffs.open(heard.values.length)).towards(heard, learnGain);
 		if (this.entries.size < maxEntries || known) {
-			this.entries.set(keyOf(service, job), {cutoffs, updatedMs: nowMs});
+			const named = heard.isOpen ? this.presserOf(service, job) : by;
+			this.entries.set(keyOf(service, job), {cutoffs, updatedMs: nowMs, by: named});
 		}
 	}
 }
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -43,4 +43,5 @@
 	storeAvailable: define('MS4004', 'info', 'platform store answers again'),
 	policyAccepted: define('MS4005', 'info', 'operator change was accepted'),
 	policyRefused: define('MS4006', 'info', 'operator change was refused'),
+	reportTooLarge: define('MS5001', 'warn', 'counts for the report do not fit their store object'),
 } as const;
--- a/packages/node/src/calls/router.ts
+++ b/packages/node/src/calls/router.ts
@@ -102,7 +102,7 @@
 		const ran = result.kind === 'answer' || result.run === runStates.unknown;
 		const acted =
 			(ran && !request.idempotent) || (result.kind === 'refusal' && result.final === true);
-		parent.childEnded({cutoffs: outcome.cutoffs, unspent: outcome.unspent, acted});
+		parent.childEnded(outcome, acted);
 		return outcome;
 	}
 
@@ -142,7 +142,8 @@
 			isHomeless && terms.spill ? await this.sendAbroad(request, outcome, signal) : outcome;
 		if (final.cutoffs.length > 0) {
 			const {service, job} = request;
-			this.book.learn(service, job, Cutoffs.of(final.cutoffs), this.opts.clock.monotonic());
+			const heard = {cutoffs: Cutoffs.of(final.cutoffs), by: final.pressedBy};
+			this.book.learn(service, job, heard, this.opts.clock.monotonic());
 		}
 
 		return final;
@@ -200,7 +201,10 @@
 		const cutoffs = this.book.cutoffsFor(service, job, this.opts.clock.monotonic());
 		return !cutoffs || cutoffs.admits(rank, cohort)
 			? undefined
-			: refusalOf(callFaults.pressedBelow, runStates.notRun, allowance, {retryAfterMs: 1000});
+			: refusalOf(callFaults.pressedBelow, runStates.notRun, allowance, {
+					retryAfterMs: 1000,
+					by: this.book.presserOf(service, job),
+				});
 	}
 
 	private allowanceOf({key, allowance}: CallRequest): Allowance {
--- a/packages/node/src/operators/queries.ts
+++ b/packages/node/src/operators/queries.ts
@@ -13,7 +13,7 @@
 import {countHeld} from '../peers/count-held.js';
 import type {Peers} from '../peers/peers.js';
 import type {Explanations} from '../report/explanations.js';
-import type {Tally} from '../report/tally.js';
+import type {RollUp} from '../report/roll-up.js';
 import type {Slot} from '../upstream/slot.js';
 import {buildReport} from '../report/build-report.js';
 import {getHistory} from './get-history.js';
@@ -34,7 +34,8 @@
 	readonly slot: Slot;
 	readonly quarantine: Quarantine;
 	readonly ledger: Pick<KeyLedger<unknown>, 'size'>;
-	readonly tally: Tally;
+	readonly rollUp: Pick<RollUp, 'own'>;
+	readonly rollUpMs: number;
 	readonly explanations: Explanations;
 	readonly storeCalls: () => Promise<Record<string, number>>;
 };
@@ -178,10 +179,19 @@
 		return ok({explanations: this.opts.explanations.find(subject)});
 	}
 
-	/** What this node counted. */
-	report(): Reply<api.GetReportReply> {
-		const {tally, config, gossip} = this.opts;
-		return ok(buildReport(tally, config.policy, `node ${gossip.self.id}`));
+	/** How each service and rank keeps its objective. */
+	async report(): Promise<Reply<api.GetReportReply>> {
+		const {clock, store, config, gossip, rollUp, rollUpMs} = this.opts;
+		const deps = {
+			clock,
+			store,
+			policy: config.policy,
+			node: gossip.self.id,
+			dataCentres: [gossip.self.dataCentre, ...gossip.contacts.dataCentres],
+			own: rollUp.own,
+			rollUpMs,
+		};
+		return ok(await buildReport(deps, this.signal));
 	}
 
 	private dataCentres(): api.DataCentre[] {
--- a/packages/node/src/peers/handlers.ts
+++ b/packages/node/src/peers/handlers.ts
@@ -18,5 +18,6 @@
 	keyAsk(message: MessageOf<'key-ask'>): Message;
 	count(message: MessageOf<'count'>): Promise<Message>;
 	inherit(message: MessageOf<'inherit'>): Message;
+	rollUp(message: MessageOf<'roll-up'>): Message;
 	drain(message: MessageOf<'drain'>): Message;
 };
--- a/packages/node/src/peers/refusals.ts
+++ b/packages/node/src/peers/refusals.ts
@@ -13,7 +13,7 @@
 	fault: Fault,
 	run: Run,
 	unspent: number,
-	more: Pick<Refusal, 'retryAfterMs' | 'final'> = {},
+	more: Pick<Refusal, 'retryAfterMs' | 'final' | 'by'> = {},
 ): CallOutcome => ({
 	result: {
 		kind: 'refusal',
--- a/packages/node/src/peers/serve-connection.ts
+++ b/packages/node/src/peers/serve-connection.ts
@@ -9,7 +9,9 @@
 	messageTypes,
 	runStates,
 } from '@medlarsaddle/wire';
+import {answerQuestion} from './answer-question.js';
 import type {Handlers} from './handlers.js';
+import {isReply} from './is-reply.js';
 import {refusalOf} from './refusals.js';
 
 type Deps = {
@@ -58,6 +60,11 @@
 		};
 
 		const handle = (message: Message): void => {
+			// Replies go to whoever asked, on the connection that it opened.
+			if (isReply(message)) {
+				return;
+			}
+
 			switch (message.type) {
 				case messageTypes.call: {
 					void runCall(message);
@@ -74,44 +81,22 @@
 					break;
 				}
 
-				case messageTypes.sync: {
-					link.send(handlers.sync(message));
-					break;
-				}
-
 				case messageTypes.keyDone: {
 					handlers.keyDone(message);
 					break;
 				}
 
-				case messageTypes.keyAsk: {
-					link.send(handlers.keyAsk(message));
-					break;
-				}
-
 				case messageTypes.count: {
 					void handlers.count(message).then(reply => link.send(reply));
 					break;
 				}
 
-				case messageTypes.inherit: {
-					link.send(handlers.inherit(message));
-					break;
-				}
-
+				case messageTypes.sync:
+				case messageTypes.keyAsk:
+				case messageTypes.inherit:
+				case messageTypes.rollUp:
 				case messageTypes.drain: {
-					link.send(handlers.drain(message));
-					break;
-				}
-
-				case messageTypes.hello:
-				case messageTypes.outcome:
-				case messageTypes.probed:
-				case messageTypes.synced:
-				case messageTypes.keyTold:
-				case messageTypes.counted:
-				case messageTypes.inherited:
-				case messageTypes.drained: {
+					link.send(answerQuestion(handlers, message));
 					break;
 				}
 			}
--- a/packages/node/src/report/build-report.ts
+++ b/packages/node/src/report/build-report.ts
@@ -1,39 +1,84 @@
-import type {GetReportReply} from '@medlarsaddle/api';
+import type * as api from '@medlarsaddle/api';
+import type {Clock} from '@medlarsaddle/core';
 import type {Policy} from '@medlarsaddle/policy';
-import {burnRate} from './burn-rate.js';
-import {outcomeClasses} from './outcome-classes.js';
-import type {Tally} from './tally.js';
+import type {ObjectStore} from '@medlarsaddle/platform';
+import {type History, burn, outcomeClasses, windows} from '@medlarsaddle/report';
+import {readReport} from './read-report.js';
+
+type Deps = {
+	readonly clock: Clock;
+	readonly store: ObjectStore | undefined;
+	readonly policy: Policy;
+	readonly node: string;
+	/** Data centres that the node knows of. */
+	readonly dataCentres: readonly string[];
+	/** What the node alone counted. */
+	readonly own: History;
+	readonly rollUpMs: number;
+};
 
-const windowsS = [300, 3600, 21_600, 259_200];
 const defaultGoodShare = 0.99;
+const maxCauses = 5;
+
+/** Roll-ups that a data centre may miss before it counts as missing. */
+const missedRollUps = 3;
+const never = -1;
 
 /**
- * Builds the report on service-level burn from a tally. Totals are those of the longest window.
+ * Builds the report on service-level burn from what every data centre has rolled up, or, while the
+ * platform does not answer, from what this node counted itself.
  *
  * @example
- * const report = buildReport(tally, policy, 'node dc1-a');
+ * const report = await buildReport(deps, signal);
  */
-export const buildReport = (tally: Tally, policy: Policy, scope: string): GetReportReply => {
-	const sums = windowsS.map(seconds => tally.sum(seconds * 1000));
-	const totals = sums.at(-1) ?? [];
-	const ranks = totals.map(({service, rank, byClass, causes}) => {
-		const objective = policy.objectivesOf(service).find(other => other.rank === rank);
-		const goodShare = objective?.goodShare ?? defaultGoodShare;
-		const burn = sums.map(rows => {
-			const row = rows.find(other => other.service === service && other.rank === rank);
-			const total = row ? Object.values(row.byClass).reduce((sum, count) => sum + count, 0) : 0;
-			return burnRate(row?.byClass[outcomeClasses.good] ?? 0, total, goodShare);
-		});
-		const largest = [...causes].toSorted((a, b) => b[1] - a[1])[0];
-		return {
-			service,
-			rank,
-			...byClass,
-			goodShareObjective: goodShare,
-			burn,
-			largestCause: largest ? `${largest[0]} (${largest[1]})` : '',
-			withinMs: objective?.withinMs ?? 0,
-		};
-	});
-	return {windowsS, ranks, sinceMs: Math.floor(tally.sinceMs), scope, missing: []};
+export const buildReport = async (deps: Deps, signal: AbortSignal): Promise<api.GetReportReply> => {
+	const {clock, store, dataCentres: known, node, own, rollUpMs} = deps;
+	const read = store && (await readReport({clock, store, known}, signal));
+	const dataCentres = read ?? known.map(name => ({name, histories: [], ageMs: undefined}));
+	const missingAfterMs = rollUpMs * missedRollUps;
+	const histories = read ? read.flatMap(place => place.histories) : [own];
+	return {
+		windowsS: windows.map(({seconds}) => seconds),
+		ranks: burn(histories, objectivesIn(deps.policy), clock.now())
+			.map(row => rankReportOf(row))
+			.toSorted((a, b) => worst(b) - worst(a)),
+		scope: read ? 'all data centres' : `node ${node} alone, since the platform does not answer`,
+		isPartial: read === undefined,
+		dataCentres: dataCentres.map(({name, ageMs}) => ({
+			name,
+			ageMs: ageMs ?? never,
+			missing: ageMs === undefined || ageMs > missingAfterMs,
+		})),
+		rollUpMs,
+		atMs: Math.floor(clock.now()),
+	};
+};
+
+type Burn = ReturnType<typeof burn>[number];
+
+const objectivesIn = (policy: Policy) => (service: string, rank: string) => {
+	const found = policy.objectivesOf(service).find(other => other.rank === rank);
+	return {goodShare: found?.goodShare ?? defaultGoodShare, withinMs: found?.withinMs ?? 0};
 };
+
+const worst = ({burn: rates}: api.RankReport): number => Math.max(...rates);
+
+const rankReportOf = (row: Burn): api.RankReport => ({
+	service: row.service,
+	rank: row.rank,
+	good: row.counts.get(outcomeClasses.good),
+	late: row.counts.get(outcomeClasses.late),
+	refused: row.counts.get(outcomeClasses.refused),
+	failed: row.counts.get(outcomeClasses.failed),
+	unknown: row.counts.get(outcomeClasses.unknown),
+	goodShareObjective: row.objective.goodShare,
+	withinMs: row.objective.withinMs,
+	burn: [...row.rates],
+	alert: row.alert,
+	budgetLeft: row.budgetLeft,
+	spentInMs: row.spentInMs === undefined ? never : Math.floor(row.spentInMs),
+	causes: row.causes.slice(0, maxCauses).map(([cause, count]) => ({cause, count})),
+	p50Ms: row.p50Ms,
+	p99Ms: row.p99Ms,
+	points: row.points.map(point => ({...point})),
+});
--- a/packages/node/src/report/classify.ts
+++ b/packages/node/src/report/classify.ts
@@ -1,7 +1,7 @@
 import {faultKinds} from '@medlarsaddle/core';
+import {outcomeClasses} from '@medlarsaddle/report';
 import {runStates} from '@medlarsaddle/wire';
 import type {Originated} from '../calls/originated.js';
-import {outcomeClasses} from './outcome-classes.js';
 
 const serverErrors = 500;
 
--- a/packages/node/src/report/metrics.ts
+++ b/packages/node/src/report/metrics.ts
@@ -52,6 +52,13 @@
 		registers: [this.registry],
 	});
 
+	/** Bytes of counts sent to the members that collect them. */
+	readonly reportBytes = new Counter({
+		name: 'medlarsaddle_report_bytes_total',
+		help: 'Bytes of counts sent to the members that collect them',
+		registers: [this.registry],
+	});
+
 	private readonly controlBytes = new Counter({
 		name: 'medlarsaddle_control_bytes_total',
 		help: 'Bytes of datagrams between nodes',
--- a/packages/node/src/report/observe.ts
+++ b/packages/node/src/report/observe.ts
@@ -1,12 +1,13 @@
 import type {Clock} from '@medlarsaddle/core';
 import {cohorts} from '@medlarsaddle/control';
+import type {Tally} from '@medlarsaddle/report';
 import type {Config} from '../config/config.js';
 import type {Incoming} from '../calls/incoming.js';
 import type {Originated} from '../calls/originated.js';
+import {causeOf} from './cause-of.js';
 import {classify} from './classify.js';
 import type {Explanations} from './explanations.js';
 import type {Metrics} from './metrics.js';
-import type {Tally} from './tally.js';
 
 type Deps = {
 	readonly clock: Clock;
@@ -30,9 +31,14 @@
 		if (incoming.context === undefined) {
 			const withinMs = config.policy.withinMs(service, terms.rankName) ?? terms.deadlineMs;
 			const outcomeClass = classify(originated, withinMs);
-			const cause = result.kind === 'refusal' ? result.fault : `status ${result.status}`;
 			if (outcomeClass) {
-				tally.count(service, terms.rankName, outcomeClass, cause);
+				tally.count({
+					service,
+					rank: terms.rankName,
+					outcome: outcomeClass,
+					cause: causeOf(originated),
+					elapsedMs: result.kind === 'answer' ? elapsedMs : undefined,
+				});
 				metrics.countRequest(terms.rankName, outcomeClass, elapsedMs);
 			}
 		}
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -14,6 +14,7 @@
 import {registerCalls} from './register-calls.js';
 import {registerControl} from './register-control.js';
 import {registerFronts} from './register-fronts.js';
+import {registerReport} from './register-report.js';
 import {buildTree} from './tree.js';
 
 type Deps = {
@@ -33,6 +34,7 @@
 
 const leavePollMs = 20;
 const spreadMs = 400;
+const lastRollUpMs = 2000;
 const maxSeed = 2 ** 31;
 
 /**
@@ -71,6 +73,7 @@
 		});
 		registerControl(container);
 		registerCalls(container);
+		registerReport(container);
 		registerFronts(container);
 		const {cradle} = container;
 		const ports = await listenAll(cradle, peerPort);
@@ -152,6 +155,7 @@
 
 		const isHandedOver = await handOverKeys(this.cradle);
 		log(isHandedOver ? events.keysHandedOver : events.keysLost, {keys: this.cradle.ledger.size});
+		await this.cradle.rollUp.finish(AbortSignal.timeout(lastRollUpMs));
 		gossip.update({state: memberStates.left, offers: []});
 		this.abort.abort(new Error('The node stops'));
 		await this.ended;
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -1,6 +1,7 @@
 import {type AwilixContainer, asFunction} from 'awilix';
 import {events, Fault, faultKinds} from '@medlarsaddle/core';
 import {memberStates, rumorKinds} from '@medlarsaddle/members';
+import {History} from '@medlarsaddle/report';
 import {type CallOutcome, messageTypes, runStates} from '@medlarsaddle/wire';
 import {AnswerStore} from '../calls/answer-store.js';
 import {Carrier} from '../calls/carrier.js';
@@ -9,10 +10,7 @@
 import {countHeld} from '../peers/count-held.js';
 import type {Handlers} from '../peers/handlers.js';
 import {refusalOf} from '../peers/refusals.js';
-import {Explanations} from '../report/explanations.js';
-import {Metrics} from '../report/metrics.js';
 import {observe} from '../report/observe.js';
-import {Tally} from '../report/tally.js';
 import {InFlight} from '../upstream/in-flight.js';
 import {Slot} from '../upstream/slot.js';
 import type {Cradle} from './cradle.js';
@@ -43,18 +41,6 @@
 		owner: once(({clock, ledger, answers, carrier, peers, directory, gossip}) =>
 			Owner.create({clock, ledger, store: answers, carrier, peers, directory, gossip}),
 		),
-		tally: once(({clock}) => Tally.create(clock)),
-		explanations: once(() => Explanations.create()),
-		metrics: once(cradle =>
-			Metrics.create({
-				inFlight: () => cradle.slot.admission?.inFlight ?? 0,
-				waiting: () => cradle.slot.admission?.waiting ?? 0,
-				limit: () => cradle.slot.admission?.limitValue ?? 0,
-				members: () => cradle.gossip.table.alive.length,
-				peers: () => cradle.peers.size,
-				keys: () => cradle.ledger.size,
-			}),
-		),
 		router: once(cradle =>
 			Router.create({
 				clock: cradle.clock,
@@ -108,7 +94,7 @@
 };
 
 const createHandlers = (cradle: Cradle): Handlers => {
-	const {clock, slot, owner, router, config, gossip, lifecycle, ledger} = cradle;
+	const {clock, slot, owner, router, config, gossip, lifecycle, ledger, collector} = cradle;
 	type Handle = Handlers['run'];
 
 	/**
@@ -169,6 +155,10 @@
 
 			return {type: messageTypes.inherited, id};
 		},
+		rollUp({id, from, sequence, shard, rows}) {
+			collector.take({from, sequence, shard, history: History.of(rows)});
+			return {type: messageTypes.rolledUp, id};
+		},
 		drain({id, draining}) {
 			slot.setDraining(draining);
 			return {type: messageTypes.drained, id};
--- a/packages/node/src/root/register-fronts.ts
+++ b/packages/node/src/root/register-fronts.ts
@@ -84,6 +84,7 @@
 	slot: cradle.slot,
 	quarantine: cradle.quarantine,
 	ledger: cradle.ledger,
-	tally: cradle.tally,
+	rollUp: cradle.rollUp,
+	rollUpMs: cradle.settings.rollUpMs,
 	explanations: cradle.explanations,
 });
--- a/packages/node/src/root/tree.ts
+++ b/packages/node/src/root/tree.ts
@@ -34,6 +34,7 @@
 			always('windows', closeWindows(cradle)),
 			always('probe', probeUpstream(cradle)),
 		]),
+		branch('report', [always('roll-up', cradle.rollUp.run)]),
 		branch('operators', [always('grpc', serveOperators(cradle))]),
 		branch('callers', [
 			always('upstream-side', serveHttp(cradle.upstreamApp)),
--- a/packages/node/src/settings/settings-schema.ts
+++ b/packages/node/src/settings/settings-schema.ts
@@ -49,6 +49,13 @@
 		.max(300)
 		.default(30)
 		.describe('How long a planned stop waits for work in flight, in seconds'),
+	rollUpMs: z.coerce
+		.number()
+		.int()
+		.min(100)
+		.max(300_000)
+		.default(15_000)
+		.describe('Time between roll-ups of the counts for the report, in milliseconds'),
 	admission: z
 		.enum(['on', 'off'])
 		.default('on')
--- a/packages/node/src/upstream/in-flight-call.ts
+++ b/packages/node/src/upstream/in-flight-call.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@medlarsaddle/core';
 import {Allowance, Cutoffs} from '@medlarsaddle/control';
-import type {CallRequest} from '@medlarsaddle/wire';
+import type {CallOutcome, CallRequest} from '@medlarsaddle/wire';
 
 /**
  * A call that the upstream runs now, and what its own calls downstream have done so far.
@@ -24,6 +24,9 @@
 	private childStartMs = 0;
 	private childMs = 0;
 	private hasActed = false;
+	private slowestBelow: CallOutcome['slowest'];
+	private presser: string | undefined;
+	private refusal: string | undefined;
 
 	private constructor(
 		readonly request: CallRequest,
@@ -46,6 +49,22 @@
 		return this.heard;
 	}
 
+	/** The place downstream whose cutoffs are the strictest heard; undefined when it heard of none. */
+	get pressedBy(): string | undefined {
+		return this.presser;
+	}
+
+	/** Why the last of its calls that was refused got no answer; undefined when none was. */
+	get refusedBelow(): string | undefined {
+		return this.refusal;
+	}
+
+	/** The service that took the most time: this one, with its wait for a permit, or one below. */
+	slowest(waitedMs: number): NonNullable<CallOutcome['slowest']> {
+		const own = {service: this.request.service, ms: Math.round(waitedMs + this.ownMs)};
+		return this.slowestBelow && this.slowestBelow.ms > own.ms ? this.slowestBelow : own;
+	}
+
 	/** Time the upstream itself has spent so far, its own calls left out, in milliseconds. */
 	get ownMs(): number {
 		return this.heldMs - this.childMs;
@@ -66,20 +85,29 @@
 	}
 
 	/** Notes the end of such a call. Calls that overlap are counted once. */
-	childEnded(child: {
-		readonly cutoffs: readonly number[];
-		readonly unspent: number;
-		readonly acted: boolean;
-	}): void {
+	childEnded(child: CallOutcome, acted: boolean): void {
 		this.openChildren--;
 		if (this.openChildren === 0) {
 			this.childMs += this.clock.monotonic() - this.childStartMs;
 		}
 
-		this.hasActed ||= child.acted;
+		this.hasActed ||= acted;
 		this.allowance.giveBack(child.unspent);
+		if (child.slowest && child.slowest.ms > (this.slowestBelow?.ms ?? 0)) {
+			this.slowestBelow = child.slowest;
+		}
+
+		if (child.result.kind === 'refusal') {
+			const {fault, by} = child.result;
+			this.refusal = by === undefined ? fault : `${fault} at ${by}`;
+		}
+
 		if (child.cutoffs.length > 0) {
 			const cutoffs = Cutoffs.of(child.cutoffs);
+			if (!this.heard || cutoffs.isStricterThan(this.heard)) {
+				this.presser = child.pressedBy;
+			}
+
 			this.heard = this.heard ? this.heard.strictest(cutoffs) : cutoffs;
 		}
 	}
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -3,14 +3,16 @@
 import {type CallOutcome, type CallRequest, type Refusal, runStates} from '@medlarsaddle/wire';
 import type {z} from 'zod';
 import type {announcement} from './announcement.js';
+import {Bottleneck} from './bottleneck.js';
 import {CrashWatch} from './crash-watch.js';
-import {fingerprint} from './fingerprint.js';
+import {execute} from './execute.js';
 import type {InFlight} from './in-flight.js';
 import type {InFlightCall} from './in-flight-call.js';
 import {loadOf} from './load-of.js';
 import {Pool} from './pool.js';
 import {SilenceWatch} from './silence-watch.js';
 import {slotFaults} from './slot-faults.js';
+import {Suspects} from './suspects.js';
 
 type Announcement = z.infer<typeof announcement>;
 
@@ -61,12 +63,14 @@
 	private renewedMs = 0;
 	private failedProbes = 0;
 	private isNodeDraining = false;
-	private suspectRunning = false;
+	private readonly bottleneck = Bottleneck.create();
+	private readonly suspects: Suspects;
 	private readonly silence: SilenceWatch;
 	private readonly crashes: CrashWatch;
 
 	private constructor(private readonly opts: Opts) {
 		this.silence = SilenceWatch.create(opts.clock);
+		this.suspects = Suspects.create(opts.quarantine);
 		this.crashes = CrashWatch.create({
 			...opts,
 			isAnswering: async () => (await this.serving?.pool.isAnswering()) ?? true,
@@ -199,13 +203,14 @@
 			return this.refuse(request, slotFaults.draining);
 		}
 
-		const suspicion = this.suspicionOf(request);
-		if (suspicion.refusal) {
-			return this.refuse(request, suspicion.refusal);
+		const refusal = this.suspects.refusalOf(request);
+		if (refusal) {
+			return this.refuse(request, refusal);
 		}
 
 		const {admission} = serving;
-		const deadlineMs = this.opts.clock.monotonic() + request.remainingMs;
+		const startMs = this.opts.clock.monotonic();
+		const deadlineMs = startMs + request.remainingMs;
 		const {job, rank, cohort, depth} = request;
 		const permit = await admission.enter({job, rank, cohort, depth, deadlineMs, signal});
 		if (permit.isErr()) {
@@ -213,24 +218,24 @@
 		}
 
 		// Another suspect may have started while this one waited.
-		if (suspicion.isSuspect && this.suspectRunning) {
-			admission.leave(request.job);
+		const isSuspect = this.suspects.includes(request);
+		if (isSuspect && !this.suspects.begin()) {
+			admission.leave(job);
 			return this.refuse(request, slotFaults.suspectBusy);
 		}
 
-		this.suspectRunning ||= suspicion.isSuspect;
+		const waitedMs = this.opts.clock.monotonic() - startMs;
+		const remainingMs = deadlineMs - startMs - waitedMs;
 		try {
-			return await this.execute(
-				serving,
-				{
-					...request,
-					remainingMs: deadlineMs - this.opts.clock.monotonic(),
-				},
-				signal,
-			);
+			this.started++;
+			const {inFlight} = this.opts;
+			const {silence, crashes} = this;
+			const deps = {inFlight, silence, crashes, ...serving};
+			const {call, result} = await execute(deps, {...request, remainingMs}, signal);
+			return this.outcome(admission, call, result, waitedMs);
 		} finally {
-			if (suspicion.isSuspect) {
-				this.suspectRunning = false;
+			if (isSuspect) {
+				this.suspects.end();
 			}
 		}
 	}
@@ -257,89 +262,25 @@
 		};
 	}
 
-	/** Suspects of an earlier crash run one at a time, so that another crash names one of them. */
-	private suspicionOf(request: CallRequest): {
-		readonly refusal?: Fault;
-		readonly isSuspect: boolean;
-	} {
-		const {quarantine} = this.opts;
-		if (quarantine.isEmpty) {
-			return {isSuspect: false};
-		}
-
-		const print = fingerprint(request);
-		if (quarantine.isHeld(print)) {
-			return {refusal: slotFaults.held, isSuspect: true};
-		}
-
-		const isSuspect = quarantine.isSuspect(print);
-		return isSuspect && this.suspectRunning
-			? {refusal: slotFaults.suspectBusy, isSuspect}
-			: {isSuspect};
-	}
-
-	private async execute(
-		serving: Serving,
-		request: CallRequest,
-		signal: AbortSignal,
-	): Promise<CallOutcome> {
-		const {inFlight} = this.opts;
-		const {admission, pool} = serving;
-		const connection = await pool.take(!request.idempotent);
-		const {token, call} = inFlight.open(request, signal);
-		const usualMs = request.idempotent ? admission.usualMs(request.job) : undefined;
-		const watch = this.silence.watch({call, pool, usualMs, signal});
-		this.started++;
-		const answer = await connection.send({
-			method: request.method,
-			path: request.path,
-			headers: [
-				...request.headers,
-				'medlar-context',
-				token,
-				'medlar-deadline-ms',
-				String(Math.max(0, Math.floor(request.remainingMs))),
-			],
-			body: request.body,
-			signal: watch.signal,
-		});
-		watch.stop();
-		inFlight.close(token);
-		pool.giveBack(connection);
-		if (answer.isOk()) {
-			this.silence.noteEnded(call);
-			admission.leave(request.job, {ownMs: call.ownMs, heldMs: call.heldMs});
-			return this.outcome(admission, call, answer.value);
-		}
-
-		admission.leave(request.job);
-		const {fault, mayHaveRun, wasClosed} = answer.error;
-		if (wasClosed) {
-			this.crashes.noteLost(request);
-		}
-
-		const isDeadline = signal.aborted || watch.signal.aborted;
-		return this.outcome(admission, call, {
-			kind: 'refusal',
-			fault: isDeadline ? faultKinds.deadline : fault.kind,
-			what: fault.what,
-			remedy: fault.remedy,
-			run: mayHaveRun ? runStates.unknown : runStates.notRun,
-			final: call.acted || undefined,
-		});
-	}
-
 	private outcome(
 		admission: Admission,
 		call: InFlightCall,
 		result: CallOutcome['result'],
+		waitedMs: number,
 	): CallOutcome {
+		const {service} = call.request;
 		const own = admission.cutoffs;
+		const slowest = call.slowest(waitedMs);
+		this.bottleneck.note(slowest, waitedMs + call.heldMs);
+		const isPressedBelow = call.cutoffs?.isStricterThan(own) ?? false;
 		return {
 			result,
 			cutoffs: (call.cutoffs ? own.strictest(call.cutoffs) : own).values,
+			pressedBy: isPressedBelow ? call.pressedBy : this.bottleneck.place(service),
 			load: loadOf(admission),
 			unspent: call.allowance.remaining,
+			slowest,
+			refusedBelow: call.refusedBelow,
 		};
 	}
 
@@ -352,10 +293,12 @@
 			remedy: fault.remedy,
 			run: runStates.notRun,
 			retryAfterMs: fault.kind === faultKinds.overloaded ? 1000 : undefined,
+			by: this.bottleneck.place(request.service),
 		};
 		return {
 			result: refusal,
 			cutoffs: (admission?.cutoffs ?? Cutoffs.open(1)).values,
+			pressedBy: refusal.by,
 			load: admission ? loadOf(admission) : 0,
 			unspent: request.allowance,
 		};
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -14,6 +14,7 @@
 import {outage} from './outage.js';
 import {overlay} from './overlay.js';
 import {race} from './race.js';
+import {report} from './report.js';
 import {retryStorm} from './retry-storm.js';
 import type {Scenario} from './scenario.js';
 import {silentConnections} from './silent-connections.js';
@@ -48,4 +49,5 @@
 	race,
 	overlay,
 	fullSize,
+	report,
 ];
--- a/packages/testbed/src/bin/bench.ts
+++ b/packages/testbed/src/bin/bench.ts
@@ -65,4 +65,10 @@
 
 process.on('SIGTERM', () => process.exit(1));
 process.on('SIGINT', () => process.exit(1));
-process.exit(await run());
+process.exit(
+	await run().catch((error: unknown) => {
+		console.error(String(error));
+		console.log(JSON.stringify({scenario: values.scenario, refused: String(error)}));
+		return 3;
+	}),
+);
--- a/packages/testbed/src/deploy/fleet.ts
+++ b/packages/testbed/src/deploy/fleet.ts
@@ -15,6 +15,7 @@
 	readonly seed: number;
 	readonly admission?: 'on' | 'off';
 	readonly coldRequests?: number;
+	readonly rollUpMs?: number;
 	readonly clock?: Clock;
 };
 
@@ -54,6 +55,7 @@
 	.replace(/index\.js$/v, 'bin/medlarsaddle.js');
 const settlePollMs = 50;
 const settleMs = 30_000;
+const defaultRollUpMs = 15_000;
 
 /**
  * A deployment as separate processes on loopback: the platform, a node on each host and the upstream
@@ -268,6 +270,7 @@
 	}
 
 	private async startNode(id: string, dataCentre: string): Promise<Child> {
+		const {rollUpMs = defaultRollUpMs} = this.opts;
 		const seeds = this.hosts
 			.filter(host => host.node.isRunning && host.id !== id)
 			.map(({ports}) => `127.0.0.1:${ports.peer}`);
@@ -282,6 +285,7 @@
 			'store-url': this.storeUrl,
 			admission: this.opts.admission ?? 'on',
 			'stop-seconds': '10',
+			'roll-up-ms': String(rollUpMs),
 		};
 		return Child.start({
 			script: daemon,
--- a/packages/testbed/src/harness/test-cluster.ts
+++ b/packages/testbed/src/harness/test-cluster.ts
@@ -16,6 +16,7 @@
 	readonly places: readonly Place[];
 	readonly admission?: 'on' | 'off';
 	readonly hasPlatform?: boolean;
+	readonly rollUpMs?: number;
 };
 
 type Host = {
@@ -26,6 +27,7 @@
 
 const waitStepMs = 10;
 const waitMs = 20_000;
+const defaultRollUpMs = 15_000;
 
 /**
  * Nodes, upstreams and a platform inside one process, on free ports. Waiting is for conditions,
@@ -36,9 +38,10 @@
  */
 export class TestCluster {
 	/** Starts everything and waits until every node knows every upstream of its data centre. */
-	static async start({places, admission = 'on', hasPlatform = true}: Opts): Promise<TestCluster> {
+	static async start(opts: Opts): Promise<TestCluster> {
+		const {places, hasPlatform = true} = opts;
 		const platform = hasPlatform ? await Platform.start() : undefined;
-		const cluster = new TestCluster(platform, admission);
+		const cluster = new TestCluster(platform, opts);
 		for (const place of places) {
 			await cluster.add(place);
 		}
@@ -55,7 +58,7 @@
 
 	private constructor(
 		readonly platform: Platform | undefined,
-		private readonly admission: 'on' | 'off',
+		private readonly opts: Opts,
 	) {}
 
 	/** Starts one more host. */
@@ -79,6 +82,7 @@
 	/** Starts a node without an upstream. */
 	async startNode(id: string, dataCentre: string): Promise<Node> {
 		const seeds = this.hosts.map(({node}) => `127.0.0.1:${node.ports.peer}`).slice(0, 4);
+		const {admission = 'on', rollUpMs = defaultRollUpMs} = this.opts;
 		const settings = readSettings(
 			[
 				['node-id', id],
@@ -90,7 +94,8 @@
 				['seeds', seeds.join(',')],
 				['stop-seconds', '5'],
 				['random-seed', String(this.count)],
-				['admission', this.admission],
+				['admission', admission],
+				['roll-up-ms', String(rollUpMs)],
 				...(this.platform ? [['store-url', this.platform.url]] : []),
 			].flatMap(([flag, value]) => [`--${flag}`, value!]),
 			{},
--- a/packages/testbed/src/upstream/upstream.ts
+++ b/packages/testbed/src/upstream/upstream.ts
@@ -303,6 +303,8 @@
 			id: job.id,
 			service: this.opts.service,
 			below: below?.status === 200 ? (JSON.parse(below.text) as unknown) : below?.status,
+			// What the whole request failed of, for the caller to count.
+			kind: isBelowGood ? undefined : kindIn(below.text),
 		});
 		res.setHeader('content-type', 'application/json');
 		res.setHeader('content-length', Buffer.byteLength(body));
@@ -315,3 +317,12 @@
 		res.end(body);
 	}
 }
+
+/** The kind of a refusal, or of a failure further down, in the body of an answer. */
+const kindIn = (text: string): unknown => {
+	try {
+		return (JSON.parse(text) as {kind?: unknown}).kind;
+	} catch {
+		return undefined;
+	}
+};
--- a/packages/wire/src/message-types.ts
+++ b/packages/wire/src/message-types.ts
@@ -15,6 +15,8 @@
 	counted: 'counted',
 	inherit: 'inherit',
 	inherited: 'inherited',
+	rollUp: 'roll-up',
+	rolledUp: 'rolled-up',
 	drain: 'drain',
 	drained: 'drained',
 } as const;
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -30,7 +30,12 @@
 };
 
 type Probe = {
-	readonly type: typeof types.probe | typeof types.probed;
+	readonly type: typeof types.probe;
+	readonly id: number;
+};
+
+type Probed = {
+	readonly type: typeof types.probed;
 	readonly id: number;
 };
 
@@ -109,6 +114,22 @@
 	readonly id: number;
 };
 
+/** Counts of the sender, for the member that collects them in its data centre. */
+type RollUp = {
+	readonly type: typeof types.rollUp;
+	readonly id: number;
+	/** The sending process; its sequence only rises, and a batch that is sent again keeps its own. */
+	readonly from: string;
+	readonly sequence: number;
+	readonly shard: number;
+	readonly rows: readonly unknown[];
+};
+
+type RolledUp = {
+	readonly type: typeof types.rolledUp;
+	readonly id: number;
+};
+
 /** Starts or ends draining of the receiver. */
 type Drain = {
 	readonly type: typeof types.drain;
@@ -133,6 +154,7 @@
 	| Outcome
 	| Cancel
 	| Probe
+	| Probed
 	| Sync
 	| Synced
 	| KeyDone
@@ -142,5 +164,7 @@
 	| Counted
 	| Inherit
 	| Inherited
+	| RollUp
+	| RolledUp
 	| Drain
 	| Drained;
--- a/packages/wire/src/refusal.ts
+++ b/packages/wire/src/refusal.ts
@@ -18,4 +18,6 @@
 	readonly retryAfterMs?: number;
 	/** Set when a retry would repeat an action that cannot be repeated. */
 	readonly final?: boolean;
+	/** The service that refused, and which service it waits for, as reports name it. */
+	readonly by?: string;
 };
