--- a/packages/daemon/src/bin/medlarsaddled.ts
+++ b/packages/daemon/src/bin/medlarsaddled.ts
@@ -30,6 +30,9 @@
 const platformFlag = '--platform';
 const platformVariable = 'MEDLARSADDLE_SETTINGS';
 
+/** Where metrics are served on the platform unless a variable names another port. */
+const platformDefaults = {MEDLARSADDLE_HTTP_PORT: '9464'};
+
 const args = process.argv.slice(2);
 const clock = createSystemClock();
 const output = LogOutput.create();
@@ -59,7 +62,7 @@
 const startOnPlatform = async (path: string): Promise<Result<Start, Fault>> => {
 	const text = await readFile(path, 'utf8');
 	return readPlatformSettings(text).andThen(platform =>
-		readSettings(platformFlags(platform), process.env).andThen(settings =>
+		readSettings(platformFlags(platform), {...platformDefaults, ...process.env}).andThen(settings =>
 			ok({
 				settings,
 				run: async (log: Log) =>
--- a/packages/daemon/src/platform-flags.ts
+++ b/packages/daemon/src/platform-flags.ts
@@ -1,7 +1,5 @@
 import type {PlatformSettings} from '@medlarsaddle/platform';
 
-const metricsPort = 9464;
-
 /** Callers ask for readiness once a second and turn away after two misses; 400 ms are slack. */
 const noticeMs = 2400;
 
@@ -25,7 +23,6 @@
 		group: region,
 		host,
 		'peer-port': peerPort,
-		'http-port': metricsPort,
 		seeds: seeds.join(','),
 		...(service === '' ? {} : {service}),
 		'retry-ratio': platform.retryRatio * ownRetryShare,
