Tell a reset right behind data from the end of an answer

When the reset arrives together with the last bytes, the socket reports an end and no error.

Ruled out: lost error events in the client library (a bare socket shows the same). Change: at the end of a connection the socket is asked for its peer, which a reset one has no more.

--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -64,9 +64,14 @@
 			connect: (options, callback) => {
 				connect(options, (...opened) => {
 					this.wasReset = false;
-					opened[1]?.once('error', () => {
+					const [, socket] = opened;
+					socket?.once('error', () => {
 						this.wasReset = true;
 					});
+					// A reset right behind data is read as an end, but leaves the socket without a peer.
+					socket?.once('end', () => {
+						this.wasReset ||= socket.remoteAddress === undefined;
+					});
 					callback(...opened);
 				});
 			},
--- a/packages/node/test/connection.test.ts
+++ b/packages/node/test/connection.test.ts
@@ -45,6 +45,14 @@
 		},
 		body: undefined,
 	},
+	{
+		name: 'an answer without a length that is reset together with its last bytes is not whole',
+		serve(socket) {
+			socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+			socket.resetAndDestroy();
+		},
+		body: undefined,
+	},
 	{
 		name: 'an answer with a length that ends early is not whole',
 		serve(socket) {
