Keep calls near by their goal, and admit returning callers first

Shares fell while endpoints elsewhere had room.

Change: the cost of leaving grows with the goal; a share falls only while a wait stands that spilling over would have removed; a caller that has used part of its time is taken for one that returns and goes before those that come for the first time.

--- a/packages/control/src/choose-near.ts
+++ b/packages/control/src/choose-near.ts
@@ -8,15 +8,18 @@
 	readonly view: EndpointView;
 	readonly random: Random;
 	readonly job: string;
+	/** Time within which an answer is worth most, in milliseconds. */
+	readonly goalMs: number;
 	readonly dataCentre: string;
 };
 
 /**
- * What a call to another data centre counts for, in milliseconds. Such calls are paid for by the byte
- * and are cut off when a data centre is, so they are made when the nearer endpoints are that much
- * slower.
+ * What a call to another data centre counts for, as a share of its goal. Such calls are paid for by
+ * the byte and are cut off when a data centre is, while an answer that comes well within its goal is
+ * worth no more for coming sooner.
  */
-const abroadMs = 80;
+const abroadShare = 0.15;
+const minAbroadMs = 25;
 
 /** Endpoints compared in each of the two places; more would make all entries choose the same one. */
 const drawn = 3;
@@ -27,7 +30,7 @@
  * are those to be avoided while others remain.
  *
  * @example
- * const endpoint = chooseNear({endpoints, tried, view, random, job, dataCentre: 'dc1'});
+ * const endpoint = chooseNear({endpoints, tried, view, random, job, goalMs: 300, dataCentre: 'dc1'});
  */
 export const chooseNear = ({
 	endpoints,
@@ -35,6 +38,7 @@
 	view,
 	random,
 	job,
+	goalMs,
 	dataCentre,
 }: Opts): Endpoint | undefined => {
 	const fresh = endpoints.filter(({node}) => !tried.has(node));
@@ -42,6 +46,7 @@
 	const pool = usable.length > 0 ? usable : fresh;
 	const near = pool.filter(endpoint => endpoint.dataCentre === dataCentre);
 	const far = pool.filter(endpoint => endpoint.dataCentre !== dataCentre);
+	const abroadMs = Math.max(minAbroadMs, goalMs * abroadShare);
 	let best: Endpoint | undefined;
 	let leastMs = Number.POSITIVE_INFINITY;
 	for (const endpoint of [...pick(near, drawn, random), ...pick(far, drawn, random)]) {
--- a/packages/control/src/entry-shares.ts
+++ b/packages/control/src/entry-shares.ts
@@ -6,6 +6,16 @@
 	readonly rank: number;
 	/** Work of one such request at each service, in milliseconds of places. */
 	readonly footprint: ReadonlyMap<string, number>;
+	/** Whether its caller has been refused before, or got no answer. */
+	readonly isReturning: boolean;
+};
+
+/** What was lately asked for, older requests counting less, and what is left of the admitted share. */
+type Asked = {
+	first: number;
+	returning: number;
+	credit: number;
+	decayedMs: number;
 };
 
 type Opts = {
@@ -23,7 +33,7 @@
 /**
  * Decides at the entry which requests begin while services further down cannot take all that is
  * wanted of them. Shares are divided among ranks by what this entry was lately asked for, and dealt
- * out evenly within a rank. Answers the load pattern in which a burst of one kind of request starves
+ * out evenly within a rank, callers that return going before those that come for the first time. Answers the load pattern in which a burst of one kind of request starves
  * others at a service that all of them call.
  *
  * @example
@@ -39,8 +49,7 @@
 
 	/** Work lately wanted, by service and rank. */
 	private readonly wanted = new Map<string, number[]>();
-	/** Share that a job was admitted to and has not used, for even spacing. */
-	private readonly credits = new Map<string, number>();
+	private readonly asked = new Map<string, Asked>();
 	private decayedMs: number;
 
 	private constructor(private readonly opts: Opts) {
@@ -48,7 +57,10 @@
 	}
 
 	/** Whether a request may begin, and the service that is short of room when it may not. */
-	admits({job, rank, footprint}: Request): {readonly isAdmitted: boolean; readonly by?: string} {
+	admits({job, rank, footprint, isReturning}: Request): {
+		readonly isAdmitted: boolean;
+		readonly by?: string;
+	} {
 		this.decay();
 		let least = 1;
 		let by: string | undefined;
@@ -75,19 +87,42 @@
 			}
 		}
 
-		return this.deal(job, least) ? {isAdmitted: true} : {isAdmitted: false, by};
+		return this.deal(job, least, isReturning) ? {isAdmitted: true} : {isAdmitted: false, by};
 	}
 
-	/** Admits `share` of the calls of a job, spaced evenly. */
-	private deal(job: string, share: number): boolean {
+	/**
+	 * Admits `share` of the requests of a job, spaced evenly. Returning callers are admitted whole while
+	 * the share allows, since refusing them again wastes the time that they have waited.
+	 */
+	private deal(job: string, share: number, isReturning: boolean): boolean {
+		const asked = this.noteAsked(job, isReturning);
 		if (share >= 1) {
-			this.credits.delete(job);
+			asked.credit = 1;
 			return true;
 		}
 
-		const credit = (this.credits.get(job) ?? 1 - share) + share;
-		this.credits.set(job, credit >= 1 ? credit - 1 : credit);
-		return credit >= 1;
+		const all = asked.first + asked.returning;
+		const forReturning = Math.min(1, (share * all) / Math.max(1, asked.returning));
+		const forFirst =
+			Math.max(0, share * all - asked.returning * forReturning) / Math.max(1, asked.first);
+		asked.credit += isReturning ? forReturning : Math.min(1, forFirst);
+		if (asked.credit < 1) {
+			return false;
+		}
+
+		asked.credit -= 1;
+		return true;
+	}
+
+	private noteAsked(job: string, isReturning: boolean): Asked {
+		const nowMs = this.opts.clock.monotonic();
+		const asked = this.asked.get(job) ?? {first: 0, returning: 0, credit: 1, decayedMs: nowMs};
+		const kept = 0.5 ** ((nowMs - asked.decayedMs) / halfLifeMs);
+		asked.first = asked.first * kept + (isReturning ? 0 : 1);
+		asked.returning = asked.returning * kept + (isReturning ? 1 : 0);
+		asked.decayedMs = nowMs;
+		this.asked.set(job, asked);
+		return asked;
 	}
 
 	private decay(): void {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -3,6 +3,7 @@
 export {Admission} from './admission.js';
 export {Allowance} from './allowance.js';
 export {apportion} from './apportion.js';
+export {Budgets} from './budgets.js';
 export {CallRates} from './call-rates.js';
 export {CallerSpread} from './caller-spread.js';
 export {chooseEndpoint} from './choose-endpoint.js';
--- a/packages/control/src/work-share.ts
+++ b/packages/control/src/work-share.ts
@@ -3,6 +3,8 @@
 	readonly waitingMs: number;
 	/** Work that the places of one window hold, in milliseconds of places. */
 	readonly capacityMs: number;
+	/** Time that one more call would wait for a place, in milliseconds. */
+	readonly waitMs: number;
 };
 
 /** Utilization that is aimed at. The rest absorbs the variation of arrivals. */
@@ -20,6 +22,12 @@
  */
 const windowsPerStep = 3;
 const maxStepDown = 0.6;
+
+/**
+ * Wait beyond which an upstream is pressed, in milliseconds. Below it entries send calls to endpoints
+ * further away, so a wait that stays beyond it shows that none of them has room.
+ */
+const pressedMs = 70;
 const maxStepUp = 1.12;
 const leastShare = 0.05;
 
@@ -31,7 +39,7 @@
  *
  * @example
  * share.arrived(40);
- * share.closeWindow({waitingMs: 900, capacityMs: 2200});
+ * share.closeWindow({waitingMs: 900, capacityMs: 2200, waitMs: 90});
  * share.value; // 1 while everything fits
  */
 export class WorkShare {
@@ -58,7 +66,7 @@
 	}
 
 	/** Ends a window. */
-	closeWindow({waitingMs, capacityMs}: Window): void {
+	closeWindow({waitingMs, capacityMs, waitMs}: Window): void {
 		this.arrivalsMs += (this.windowMs - this.arrivalsMs) * arrivalGain;
 		this.windowMs = 0;
 		this.windows++;
@@ -69,8 +77,10 @@
 		this.windows = 0;
 		const wantedMs = this.arrivalsMs + waitingMs / drainWindows;
 		const load = wantedMs / (capacityMs * targetShare);
-		const step = Math.min(maxStepUp, Math.max(maxStepDown, load > 0 ? 1 / load : maxStepUp));
-		// Idle capacity is no reason to admit more while nothing is held back.
+		const fitting = load > 0 ? 1 / load : maxStepUp;
+		const most = waitMs > pressedMs ? 1 : maxStepUp;
+		const least = waitMs > pressedMs ? maxStepDown : 1;
+		const step = Math.min(most, Math.max(least, fitting));
 		this.share = Math.min(1, Math.max(leastShare, this.share * step));
 	}
 }
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,5 +1,5 @@
 import {type Clock, Fault, type Log, type Random, events, faultKinds} from '@medlarsaddle/core';
-import {Allowance, EntryShares, WeightedTurns, cohortOf} from '@medlarsaddle/control';
+import {Allowance, Budgets, EntryShares, WeightedTurns, cohortOf} from '@medlarsaddle/control';
 import type {Route} from '@medlarsaddle/policy';
 import {type CallOutcome, type CallRequest, runStates} from '@medlarsaddle/wire';
 import type {Config} from '../config/config.js';
@@ -48,6 +48,7 @@
 	private readonly turns = new Map<string, WeightedTurns>();
 
 	private readonly entry: EntryShares;
+	private readonly budgets = Budgets.create();
 
 	private constructor(private readonly opts: Opts) {
 		const {clock, pressure} = opts;
@@ -102,7 +103,9 @@
 			pressure.made(job);
 		} else {
 			const footprint = pressure.footprints.of(job);
-			const {isAdmitted, by} = this.entry.admits({job, rank: route.rank, footprint});
+			const isReturning = this.budgets.isReturning(job, arrival.remainingMs);
+			const {rank} = route;
+			const {isAdmitted, by} = this.entry.admits({job, rank, footprint, isReturning});
 			if (!isAdmitted) {
 				const retryAfterMs = this.returnMs(route, remainingMs);
 				return refusalOf(callFaults.pressedBelow, runStates.notRun, 0, {retryAfterMs, by});
@@ -123,6 +126,7 @@
 			allowance: 0,
 			depth: isCall ? 1 : 0,
 			origin,
+			goalMs: route.goalMs,
 			idempotent: route.idempotent,
 		};
 		const allowance = Allowance.of(route.attempts - 1);
--- a/packages/node/src/calls/near-selector.ts
+++ b/packages/node/src/calls/near-selector.ts
@@ -38,13 +38,14 @@
 }: Deps): EndpointSelector => {
 	const view = EndpointView.create(clock);
 	return {
-		choose: ({service, job}, tried) =>
+		choose: ({service, job, goalMs = 0}, tried) =>
 			chooseNear({
 				endpoints: directory.endpointsOf(service),
 				tried,
 				view,
 				random,
 				job,
+				goalMs,
 				dataCentre,
 			}),
 		began(node) {
--- a/packages/node/src/upstream/pressure.ts
+++ b/packages/node/src/upstream/pressure.ts
@@ -90,6 +90,7 @@
 		this.own.closeWindow({
 			waitingMs: admission.waiting * (admission.meanHoldMs || firstHoldMs),
 			capacityMs: admission.limitValue * windowMs,
+			waitMs: admission.waitMs,
 		});
 		this.shares.hear(service, this.own.value);
 	}
--- a/packages/wire/src/call-request.ts
+++ b/packages/wire/src/call-request.ts
@@ -23,6 +23,8 @@
 	/** Hops from the root. */
 	readonly depth: number;
 	readonly idempotent: boolean;
+	/** Time within which its answer is worth most, in milliseconds. */
+	readonly goalMs?: number;
 	/** Service of the host where the request began. */
 	readonly origin?: string;
 	readonly key?: string;
