--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -9,6 +9,7 @@
 	nodeStopped: define('MS1003', 'info', 'node stopped'),
 	settingsRejected: define('MS1004', 'error', 'settings were rejected'),
 	settingsChanged: define('MS1007', 'info', 'settings file has changed'),
+	listening: define('MS1008', 'info', 'a part listens'),
 	keysHandedOver: define('MS1005', 'info', 'idempotency keys were handed over'),
 	keysLost: define('MS1006', 'warn', 'idempotency keys were not handed over'),
 	taskFailed: define('MS1101', 'warn', 'task failed and will be restarted'),
--- a/packages/testbed/src/deploy/child.ts
+++ b/packages/testbed/src/deploy/child.ts
@@ -5,6 +5,8 @@
 type Opts = {
 	readonly script: string;
 	readonly args: readonly string[];
+	/** Variables beside those of this process. */
+	readonly env?: Readonly<Record<string, string>>;
 	/** Finds the line that says the process is ready and returns what it tells. */
 	readonly readyIn: (line: Record<string, unknown>) => unknown;
 };
@@ -29,9 +31,10 @@
  */
 export class Child {
 	/** Starts a script and waits until it is ready. */
-	static async start({script, args, readyIn}: Opts): Promise<Child> {
+	static async start({script, args, env = {}, readyIn}: Opts): Promise<Child> {
 		const child = spawn(process.execPath, [script, ...args], {
 			stdio: ['ignore', 'pipe', 'inherit'],
+			env: {...process.env, ...env},
 		});
 		running.add(child);
 		child.once('exit', () => {
