--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -1,18 +1,16 @@
-import {type Clock, type Log, type Fault, events, faultKinds} from '@medlarsaddle/core';
-import {type Admission, Cutoffs, type Quarantine} from '@medlarsaddle/control';
-import {type CallOutcome, type CallRequest, type Refusal, runStates} from '@medlarsaddle/wire';
+import {type Clock, type Fault, type Log, events} from '@medlarsaddle/core';
+import type {Admission, Quarantine} from '@medlarsaddle/control';
+import type {CallOutcome, CallRequest} from '@medlarsaddle/wire';
 import type {z} from 'zod';
 import type {announcement} from './announcement.js';
-import {Bottleneck} from './bottleneck.js';
 import {CrashWatch} from './crash-watch.js';
 import {execute} from './execute.js';
 import type {InFlight} from './in-flight.js';
-import type {InFlightCall} from './in-flight-call.js';
-import {loadOf} from './load-of.js';
 import {Pool} from './pool.js';
 import type {Pressure} from './pressure.js';
 import {SilenceWatch} from './silence-watch.js';
 import {slotFaults} from './slot-faults.js';
+import {SlotOutcomes} from './slot-outcomes.js';
 import {Suspects} from './suspects.js';
 import type {UpstreamProtocol} from './upstream-protocol.js';
 import {UpstreamLease} from './upstream-lease.js';
@@ -60,13 +58,14 @@
 	private serving: Serving | undefined;
 	private readonly lease: UpstreamLease;
 	private isNodeDraining = false;
-	private readonly bottleneck = Bottleneck.create();
+	private readonly outcomes: SlotOutcomes;
 	private readonly suspects: Suspects;
 	private readonly silence: SilenceWatch;
 	private readonly crashes: CrashWatch;
 
 	private constructor(private readonly opts: Opts) {
 		this.lease = UpstreamLease.create(opts.clock);
+		this.outcomes = SlotOutcomes.create(opts.pressure);
 		this.silence = SilenceWatch.create(opts.clock);
 		this.suspects = Suspects.create(opts.quarantine);
 		this.crashes = CrashWatch.create({
@@ -236,7 +235,7 @@
 
 			const deps = {inFlight, silence, crashes, protocol, instance, onReplaced, ...serving};
 			const {call, result} = await execute(deps, {...request, remainingMs}, signal);
-			return this.outcome(admission, call, result, waitedMs);
+			return this.outcomes.ended({admission, call, result, waitedMs});
 		} finally {
 			pressure.ended(job);
 			if (isSuspect) {
@@ -261,62 +260,7 @@
 		};
 	}
 
-	private outcome(
-		admission: Admission,
-		call: InFlightCall,
-		result: CallOutcome['result'],
-		waitedMs: number,
-	): CallOutcome {
-		const {service, job} = call.request;
-		const own = admission.cutoffs;
-		const below = call.slowestBelow;
-		const workMs = Math.min(call.ownMs, admission.usualMs(job) ?? call.ownMs);
-		this.bottleneck.note([{service, ms: workMs}, ...(below ? [below] : [])]);
-		const here = {service: this.bottleneck.place(service), ms: waitedMs + call.ownMs};
-		const isPressedBelow = call.cutoffs?.isStricterThan(own) ?? false;
-		return {
-			result,
-			cutoffs: (call.cutoffs ? own.strictest(call.cutoffs) : own).values,
-			pressedBy: isPressedBelow ? call.pressedBy : this.bottleneck.place(service),
-			load: loadOf(admission),
-			state: {
-				waitMs: Math.round(admission.waitMs),
-				limit: admission.limitValue,
-				heldMs: Math.round(call.heldMs),
-			},
-			...this.opts.pressure.report(job, service, admission),
-			unspent: call.allowance.remaining,
-			slowest: below && below.ms > here.ms ? below : here,
-			refusedBelow: call.refusedBelow,
-		};
-	}
-
 	private refuse(request: CallRequest, fault: Fault): CallOutcome {
-		const admission = this.serving?.admission;
-		const {service, job} = request;
-		const isHere = admission && this.serving?.announcement.service === service;
-		const refusal: Refusal = {
-			kind: 'refusal',
-			fault: fault.kind,
-			what: fault.what,
-			remedy: fault.remedy,
-			run: runStates.notRun,
-			retryAfterMs: fault.kind === faultKinds.overloaded ? 1000 : undefined,
-			by: this.bottleneck.place(service),
-			limit: admission?.limitValue,
-		};
-		return {
-			result: refusal,
-			cutoffs: (admission?.cutoffs ?? Cutoffs.open(1)).values,
-			pressedBy: refusal.by,
-			load: admission ? loadOf(admission) : 0,
-			...(isHere
-				? {
-						state: {waitMs: Math.round(admission.waitMs), limit: admission.limitValue},
-						...this.opts.pressure.report(job, service, admission),
-					}
-				: {}),
-			unspent: request.allowance,
-		};
+		return this.outcomes.refused(request, fault, this.serving);
 	}
 }
