Leave a data centre only where the goal of a call is in danger

Change: time within half of the goal hardly counts, waits count whole; the goal of a call is never beyond its route's time.

--- a/packages/control/src/choose-near.ts
+++ b/packages/control/src/choose-near.ts
@@ -25,7 +25,7 @@
 const drawn = 3;
 
 /**
- * Chooses the endpoint at which a call is expected to end first, with one in the same data centre
+ * Chooses the endpoint at which a call endangers its goal least, with one in the same data centre
  * going first while it is not pressed. Endpoints that were tried for this call are left out, and so
  * are those to be avoided while others remain.
  *
@@ -51,7 +51,7 @@
 	let leastMs = Number.POSITIVE_INFINITY;
 	for (const endpoint of [...pick(near, drawn, random), ...pick(far, drawn, random)]) {
 		const awayMs = endpoint.dataCentre === dataCentre ? 0 : abroadMs;
-		const costMs = view.costMs(endpoint.node, job) + awayMs;
+		const costMs = view.costMs(endpoint.node, job, goalMs) + awayMs;
 		if (costMs < leastMs) {
 			leastMs = costMs;
 			best = endpoint;
--- a/packages/control/src/endpoint-view.ts
+++ b/packages/control/src/endpoint-view.ts
@@ -42,6 +42,10 @@
  */
 const quietMs = 300;
 const quietFactor = 2;
+
+/** Share of the goal within which the time of a call endangers nothing, and what it still counts. */
+const safeShare = 0.5;
+const safeWeight = 0.1;
 const failuresToEject = 4;
 const firstEjectionMs = 500;
 const maxEjectionMs = 8000;
@@ -54,7 +58,7 @@
  * @example
  * view.began('dc1-a');
  * view.heard('dc1-a', {load: 0.4, waitMs: 0, limit: 22, job: 'PAY', heldMs: 110});
- * view.costMs('dc1-a', 'PAY');
+ * view.costMs('dc1-a', 'PAY', 300);
  */
 export class EndpointView {
 	/** Creates a view that knows no endpoint. */
@@ -127,8 +131,11 @@
 		return view !== undefined && (view.avoidUntilMs > nowMs || this.isQuiet(view, nowMs));
 	}
 
-	/** Time that a call of a job would take there, in milliseconds, as far as it is known. */
-	costMs(node: string, job: string): number {
+	/**
+	 * What a call of a job would cost there, in milliseconds: its wait, and its time as far as that
+	 * endangers the goal. Time well within the goal counts little.
+	 */
+	costMs(node: string, job: string, goalMs: number): number {
 		const view = this.nodes.get(node);
 		if (!view) {
 			return 0;
@@ -139,7 +146,8 @@
 		const sentSince = Math.max(0, view.inFlight - view.inFlightThen);
 		const load = (isFresh ? view.load : 0) + sentSince / view.limit;
 		const queueMs = (isFresh ? view.waitMs : 0) + Math.max(0, load - busyLoad) * heldMs;
-		return heldMs + queueMs;
+		const riskMs = Math.max(0, heldMs - goalMs * safeShare);
+		return riskMs + heldMs * safeWeight + queueMs;
 	}
 
 	/** Forgets endpoints that are not listed. */
--- a/packages/control/test/whole-requests.test.ts
+++ b/packages/control/test/whole-requests.test.ts
@@ -199,6 +199,30 @@
 	assert.equal(choose(), 'a');
 });
 
+test('a slower endpoint near by is kept while the goal is not in danger, and left when it is', () => {
+	const view = EndpointView.create(ManualClock.at(0));
+	const random = createRandom(1);
+	const endpoints = [
+		{node: 'slow', service: 'board', dataCentre: 'dc1', weight: 1},
+		{node: 'fast', service: 'board', dataCentre: 'dc2', weight: 1},
+	];
+	const report = {load: 0.2, waitMs: 0, limit: 10, job: 'read'};
+	view.heard('slow', {...report, heldMs: 110});
+	view.heard('fast', {...report, heldMs: 45});
+	const choose = (goalMs: number) =>
+		chooseNear({
+			endpoints,
+			tried: new Set(),
+			view,
+			random,
+			job: 'read',
+			goalMs,
+			dataCentre: 'dc1',
+		})?.node;
+	assert.equal(choose(200), 'slow');
+	assert.equal(choose(120), 'fast');
+});
+
 test('an endpoint that falls silent while calls wait for it is left out until it is heard again', async () => {
 	const clock = ManualClock.at(0);
 	const view = EndpointView.create(clock);
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -134,7 +134,7 @@
 			allowance: 0,
 			depth: isCall ? 1 : 0,
 			origin,
-			goalMs: route.goalMs,
+			goalMs: Math.min(route.goalMs, route.timeoutMs),
 			idempotent: route.idempotent,
 		};
 		const allowance = Allowance.of(route.attempts - 1);
