--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -115,7 +115,7 @@
 			const {rank} = route;
 			const {isAdmitted, by} = this.entry.admits({job, rank, footprint, isReturning});
 			if (!isAdmitted) {
-				const retryAfterMs = this.returnMs(route, remainingMs);
+				const retryAfterMs = this.returnMs(route, arrival.remainingMs ?? remainingMs);
 				return refusalOf(callFaults.pressedBelow, runStates.notRun, 0, {retryAfterMs, by});
 			}
 		}
@@ -147,8 +147,8 @@
 	 * When a refused caller should return: so late that the load may have changed, so early that its
 	 * answer can still come within the goal, and spread so that callers do not return together.
 	 */
-	private returnMs({goalMs, timeoutMs}: Route, remainingMs: number): number {
-		const latestMs = remainingMs * latestReturn;
+	private returnMs({goalMs, timeoutMs}: Route, budgetMs: number): number {
+		const latestMs = budgetMs * latestReturn;
 		const inGoalMs = goalMs - Math.min(goalMs, timeoutMs) * usualShare;
 		const aimedMs = Math.min(latestMs, Math.max(minReturnMs, inGoalMs));
 		return aimedMs * (1 - returnSpread * this.opts.random.next());
