Keep the decision when a refused caller returns apart from forwarding

Cause: the choice of Retry-After stood inside the forwarder, without a test of its own. Change: a function of its own with the load pattern that it answers, and a table of cases. Measured: unit tests; behaviour is the same.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -24,6 +24,7 @@
 export {LevelBook} from './level-book.js';
 export {Quarantine} from './quarantine.js';
 export {RankQueue} from './rank-queue.js';
+export {returnAfter} from './return-after.js';
 export {RetryRatio} from './retry-ratio.js';
 export {ShareBook} from './share-book.js';
 export {sharesByRank} from './shares-by-rank.js';
--- a/packages/control/test/whole-requests.test.ts
+++ b/packages/control/test/whole-requests.test.ts
@@ -13,6 +13,7 @@
 	WeightedTurns,
 	WorkShare,
 	chooseNear,
+	returnAfter,
 	sharesByRank,
 } from '../src/index.js';
 
@@ -271,3 +272,22 @@
 	assert.equal(budgets.isReturning('pay', 1200), false);
 	assert.equal(budgets.isReturning('pay', undefined), false);
 });
+
+const returns: ReadonlyArray<
+	readonly [name: string, goalMs: number, budgetMs: number, from: number, to: number]
+> = [
+	['in time for its goal', 1500, 5000, 700, 1100],
+	['within a third of what it has left', 3000, 3000, 600, 1000],
+	['soon, where the goal cannot be kept any more', 200, 1200, 100, 200],
+];
+
+for (const [name, goalMs, budgetMs, from, to] of returns) {
+	test(`a refused caller returns ${name}, and not together with others`, () => {
+		const random = createRandom(5);
+		const times = Array.from({length: 50}, () =>
+			returnAfter({goalMs, timeoutMs: 1000, budgetMs, random}),
+		);
+		assert.ok(Math.min(...times) >= from && Math.max(...times) <= to, times.join(' '));
+		assert.ok(new Set(times).size > 40);
+	});
+}
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,5 +1,12 @@
 import {type Clock, Fault, type Log, type Random, events, faultKinds} from '@medlarsaddle/core';
-import {Allowance, Budgets, EntryShares, WeightedTurns, cohortOf} from '@medlarsaddle/control';
+import {
+	Allowance,
+	Budgets,
+	EntryShares,
+	WeightedTurns,
+	cohortOf,
+	returnAfter,
+} from '@medlarsaddle/control';
 import type {Route} from '@medlarsaddle/policy';
 import {type CallOutcome, type CallRequest, runStates} from '@medlarsaddle/wire';
 import type {Config} from '../config/config.js';
@@ -24,15 +31,8 @@
 	readonly onEnded: (route: Route | undefined, outcome: CallOutcome, elapsedMs: number) => void;
 };
 
-/** Callers wait for a third of the time that they have left at most; beyond it they return early. */
-const latestReturn = 0.32;
-const minReturnMs = 200;
-
-/** Share of a route's time that an answer usually takes. */
-const usualShare = 0.4;
-
-/** Share of the time to return that is drawn at random. */
-const returnSpread = 0.35;
+/** When a caller should return that came to a node which stops, in milliseconds. */
+const elsewhereMs = 200;
 
 /**
  * Forwards requests by the routes in force: finds the route, takes the turn of one of its services
@@ -48,7 +48,6 @@
 	}
 
 	private readonly turns = new Map<string, WeightedTurns>();
-
 	private readonly entry: EntryShares;
 	private readonly budgets = Budgets.create();
 
@@ -107,7 +106,7 @@
 		} else {
 			const closed = this.opts.closedBy();
 			if (closed) {
-				return refusalOf(closed, runStates.notRun, 0, {retryAfterMs: minReturnMs});
+				return refusalOf(closed, runStates.notRun, 0, {retryAfterMs: elsewhereMs});
 			}
 
 			const footprint = pressure.footprints.of(job);
@@ -115,7 +114,8 @@
 			const {rank} = route;
 			const {isAdmitted, by} = this.entry.admits({job, rank, footprint, isReturning});
 			if (!isAdmitted) {
-				const retryAfterMs = this.returnMs(route, arrival.remainingMs ?? remainingMs);
+				const budgetMs = arrival.remainingMs ?? remainingMs;
+				const retryAfterMs = returnAfter({...route, budgetMs, random: this.opts.random});
 				return refusalOf(callFaults.pressedBelow, runStates.notRun, 0, {retryAfterMs, by});
 			}
 		}
@@ -143,17 +143,6 @@
 		return outcome;
 	}
 
-	/**
-	 * When a refused caller should return: so late that the load may have changed, so early that its
-	 * answer can still come within the goal, and spread so that callers do not return together.
-	 */
-	private returnMs({goalMs, timeoutMs}: Route, budgetMs: number): number {
-		const latestMs = budgetMs * latestReturn;
-		const inGoalMs = goalMs - Math.min(goalMs, timeoutMs) * usualShare;
-		const aimedMs = Math.min(latestMs, Math.max(minReturnMs, inGoalMs));
-		return aimedMs * (1 - returnSpread * this.opts.random.next());
-	}
-
 	private turnsOf({name}: Route): WeightedTurns {
 		const known = this.turns.get(name) ?? WeightedTurns.create();
 		this.turns.set(name, known);
