Log when a service begins and ends to hold work back, with what decided it

Cause: a refusal at the entry names the service that is short of room, whose hosts logged nothing. Change: MS2101 and MS2102 also tell of shares, with limit, running, waiting, wait and share.

--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -159,18 +159,26 @@
 
 	/** Ends a window of the admission. */
 	closeWindow(): void {
-		const admission = this.serving?.admission;
-		if (!admission) {
+		const {serving} = this;
+		if (!serving) {
 			return;
 		}
 
-		const wasOpen = admission.cutoffs.isOpen;
+		const {admission, announcement} = serving;
+		const {pressure, log} = this.opts;
+		const wasOpen = this.isOpen(admission);
 		admission.closeWindow();
-		this.opts.pressure.closeWindow(admission, this.serving!.announcement.service);
-		if (wasOpen && !admission.cutoffs.isOpen) {
-			this.opts.log(events.overloadStarted, {limit: admission.limitValue});
-		} else if (!wasOpen && admission.cutoffs.isOpen) {
-			this.opts.log(events.overloadEnded, {limit: admission.limitValue});
+		pressure.closeWindow(admission, announcement.service);
+		const isOpen = this.isOpen(admission);
+		if (wasOpen !== isOpen) {
+			log(isOpen ? events.overloadEnded : events.overloadStarted, {
+				service: announcement.service,
+				limit: admission.limitValue,
+				running: admission.inFlight,
+				waiting: admission.waiting,
+				waitMs: Math.round(admission.waitMs),
+				share: pressure.ownShare,
+			});
 		}
 	}
 
@@ -244,6 +252,11 @@
 		}
 	}
 
+	/** Whether everything wanted is taken: nothing is cut off here and no share is held back. */
+	private isOpen(admission: Admission): boolean {
+		return admission.cutoffs.isOpen && this.opts.pressure.ownShare === 1;
+	}
+
 	private serve(next: Announcement): Serving {
 		const {clock, log, host, maxBodyBytes, createAdmission} = this.opts;
 		return {
