--- a/packages/testbed/src/harness/routed-host.ts
+++ b/packages/testbed/src/harness/routed-host.ts
@@ -65,6 +65,11 @@
 		private readonly folder: string,
 	) {}
 
+	/** Port for callers. */
+	get callerPort(): number {
+		return this.portOf('callers');
+	}
+
 	/** Reports the upstream to the daemon. */
 	async report(state: 'ready' | 'draining' = 'ready'): Promise<number> {
 		return this.upstream.report(this.portOf('liveness'), state);
--- /dev/null
+++ b/packages/testbed/test/front.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net from 'node:net';
+import {after, before, test} from 'node:test';
+import {RoutedHost} from '../src/harness/routed-host.js';
+import {Platform} from '../src/platform/platform.js';
+
+const route = (name: string, prefix: string, kind: string) => ({
+	name,
+	routeKind: kind,
+	targetLatencyMs: 500,
+	priority: 0,
+	match: {pathPrefix: prefix},
+	action: {service: 'pay', timeoutMs: 5000, attempts: 2},
+});
+
+let platform: Platform;
+let host: RoutedHost;
+
+before(async () => {
+	platform = await Platform.start();
+	platform.write('config', 'main', {
+		version: 1,
+		limits: {
+			maxHeaderBytes: 4000,
+			maxBodyBytes: 5000,
+			headerTimeoutMs: 3000,
+			idleTimeoutMs: 15_000,
+		},
+		listeners: [
+			{
+				host: 'shop.example',
+				rules: [route('look', '/look/', 'idempotent'), route('pay', '/pay/', 'non_idempotent')],
+			},
+		],
+		clusters: [{name: 'pay', healthPath: '/health', maxConns: 50}],
+	});
+	const place = {id: 'a', dataCentre: 'dc1', service: 'pay'};
+	host = await RoutedHost.start({...place, storeUrl: platform.url});
+	await host.until(async () => host.isReady());
+	await host.report();
+});
+
+after(async () => {
+	await host.stop();
+	await platform.stop();
+});
+
+/** Sends bytes on one connection and reads until a condition holds or the connection ends. */
+const exchange = async (bytes: string, isDone: (text: string) => boolean): Promise<string> => {
+	const socket = net.connect(host.callerPort, '127.0.0.1');
+	await once(socket, 'connect');
+	socket.write(bytes);
+	let text = '';
+	for await (const chunk of socket) {
+		text += (chunk as Buffer).toString('latin1');
+		if (isDone(text)) {
+			break;
+		}
+	}
+
+	socket.destroy();
+	return text;
+};
+
+const get = (id: string) =>
+	`GET /look/${id} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: ${id}\r\n\r\n`;
+
+test('requests sent one behind the other are answered in their order, each with its own ID', async () => {
+	const text = await exchange(get('p1') + get('p2') + get('p3'), seen => seen.includes('/look/p3'));
+	const ids = [...text.matchAll(/^attempt-id: (\S+)/gimv)].map(([_all, id]) => id);
+	assert.deepEqual(ids, ['p1', 'p2', 'p3']);
+});
+
+test('a body in chunks reaches the upstream whole', async () => {
+	const bodies: string[] = [];
+	host.upstream.manner = (req, res) => {
+		let body = '';
+		req.on('data', (chunk: Buffer) => {
+			body += chunk.toString();
+		});
+		req.on('end', () => {
+			bodies.push(body);
+			host.upstream.answer(req, res);
+		});
+	};
+
+	const head =
+		'PUT /pay/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: c1\r\nTransfer-Encoding: chunked\r\n\r\n';
+	const text = await exchange(`${head}5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n`, seen =>
+		seen.includes('/pay/1'),
+	);
+	host.upstream.manner = host.upstream.answer;
+	assert.match(text, /^HTTP\/1\.1 200/v);
+	assert.deepEqual(bodies, ['firstsecond']);
+});
+
+const malformed: ReadonlyArray<readonly [name: string, headers: string]> = [
+	['two lengths', 'Content-Length: 2\r\nContent-Length: 3'],
+	['a length and chunks', 'Content-Length: 2\r\nTransfer-Encoding: chunked'],
+	['a length that is no number', 'Content-Length: two'],
+];
+
+/** Sends a request with these headers and another one behind its body; tells how many ran. */
+const smuggle = async (headers: string) => {
+	const ranBefore = host.upstream.ran.length;
+	const head = `PUT /pay/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: m\r\n${headers}\r\n\r\n`;
+	const text = await exchange(`${head}ab${get('smuggled')}`, () => false);
+	return {text, ran: host.upstream.ran.length - ranBefore};
+};
+
+for (const [name, headers] of malformed) {
+	test(`a request with ${name} is rejected and nothing of it runs`, async () => {
+		const {text, ran} = await smuggle(headers);
+		assert.match(text, /^HTTP\/1\.1 400/v);
+		assert.equal(ran, 0);
+	});
+}
+
+test('a caller that goes away ends the call at the upstream', async () => {
+	const socket = net.connect(host.callerPort, '127.0.0.1');
+	const ended = new Promise<void>(resolve => {
+		host.upstream.manner = (_req, res) => {
+			res.once('close', resolve);
+			socket.destroy();
+		};
+	});
+	await once(socket, 'connect');
+	socket.write(get('gone'));
+	await ended;
+	host.upstream.manner = host.upstream.answer;
+});
