--- a/packages/client/src/read-section-file.ts
+++ b/packages/client/src/read-section-file.ts
@@ -1,6 +1,6 @@
 import {readFile} from 'node:fs/promises';
 import {Fault, errorText, faultKinds} from '@medlarsaddle/core';
-import {parseSection} from '@medlarsaddle/policy';
+import {parseSection, sectionNameOf} from '@medlarsaddle/policy';
 import {type Result, err} from 'neverthrow';
 
 type SectionFile = {
@@ -29,7 +29,7 @@
 	}
 
 	return parseSection(text).map(body => ({
-		name: body.kind === 'base' ? 'base' : body.service,
+		name: sectionNameOf(body),
 		text,
 	}));
 };
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -17,3 +17,4 @@
 export {Quarantine} from './quarantine.js';
 export {RankQueue} from './rank-queue.js';
 export {RetryRatio} from './retry-ratio.js';
+export {WeightedTurns} from './weighted-turns.js';
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -43,5 +43,10 @@
 	storeAvailable: define('MS4004', 'info', 'platform store answers again'),
 	policyAccepted: define('MS4005', 'info', 'operator change was accepted'),
 	policyRefused: define('MS4006', 'info', 'operator change was refused'),
+	entryRefused: define('MS4007', 'warn', 'entry of this node could not be written to the store'),
+	reportRejected: define('MS2006', 'warn', 'liveness report cannot be read'),
+	reportOutdated: define('MS2007', 'info', 'liveness report is older than what is known'),
+	requestRejected: define('MS6002', 'warn', 'request was rejected before it was forwarded'),
+	requestEnded: define('MS6001', 'info', 'request ended'),
 	reportTooLarge: define('MS5001', 'warn', 'counts for the report do not fit their store object'),
 } as const;
--- a/packages/core/src/fault-kinds.ts
+++ b/packages/core/src/fault-kinds.ts
@@ -15,6 +15,7 @@
 	upstreamFailed: 'upstream-failed',
 	truncated: 'truncated-answer',
 	tooLarge: 'too-large',
+	headersTooLarge: 'headers-too-large',
 	keyUnknown: 'key-unknown',
 	keyInvalid: 'key-invalid',
 	keyBusy: 'key-in-progress',
--- a/packages/members/src/contacts.ts
+++ b/packages/members/src/contacts.ts
@@ -2,10 +2,10 @@
 import {memberStates} from './member-states.js';
 import {supersedes} from './supersedes.js';
 
-const maxPerDataCentre = 4;
+const maxPerGroup = 4;
 
 /**
- * A few members of each other data centre, kept so that a data centre can reach the others without
+ * A few members of each other group, kept so that a group can reach the others without
  * knowing all their members.
  *
  * @example
@@ -17,23 +17,23 @@
 		return new Contacts();
 	}
 
-	private readonly byDataCentre = new Map<string, Member[]>();
+	private readonly byGroup = new Map<string, Member[]>();
 
 	private constructor() {}
 
-	/** Data centres of which a contact is known. */
-	get dataCentres(): string[] {
-		return [...this.byDataCentre.keys()];
+	/** Groups of which a contact is known. */
+	get groups(): string[] {
+		return [...this.byGroup.keys()];
 	}
 
-	/** Contacts in a data centre, the most recently heard first. */
-	of(dataCentre: string): readonly Member[] {
-		return this.byDataCentre.get(dataCentre) ?? [];
+	/** Contacts in a group, the most recently heard first. */
+	of(group: string): readonly Member[] {
+		return this.byGroup.get(group) ?? [];
 	}
 
-	/** Takes in a member of another data centre; true when it was news. */
+	/** Takes in a member of another group; true when it was news. */
 	merge(heard: Member): boolean {
-		const known = this.of(heard.dataCentre);
+		const known = this.of(heard.group);
 		const same = known.find(({id}) => id === heard.id);
 		if (same && !supersedes(heard, same)) {
 			return false;
@@ -45,18 +45,18 @@
 			return false;
 		}
 
-		const kept = isUp ? [heard, ...others].slice(0, maxPerDataCentre) : others;
-		this.byDataCentre.set(heard.dataCentre, kept);
+		const kept = isUp ? [heard, ...others].slice(0, maxPerGroup) : others;
+		this.byGroup.set(heard.group, kept);
 		return true;
 	}
 
 	/** Moves a contact that did not answer behind the others. */
 	demote(id: string): void {
-		for (const [dataCentre, members] of this.byDataCentre) {
+		for (const [group, members] of this.byGroup) {
 			const found = members.find(member => member.id === id);
 			if (found) {
 				const rest = members.filter(member => member !== found);
-				this.byDataCentre.set(dataCentre, [...rest, found]);
+				this.byGroup.set(group, [...rest, found]);
 			}
 		}
 	}
--- a/packages/members/src/datagram.ts
+++ b/packages/members/src/datagram.ts
@@ -5,13 +5,14 @@
  * One datagram between nodes. Each carries news and digests of what its sender holds.
  *
  * @example
- * send(address, {type: datagramTypes.ping, seq, from, dataCentre, digests, rumors});
+ * send(address, {type: datagramTypes.ping, seq, from, group, digests, rumors});
  */
 export type Datagram = {
 	readonly type: (typeof datagramTypes)[keyof typeof datagramTypes];
 	readonly seq: number;
 	readonly from: string;
-	readonly dataCentre: string;
+	/** The sender's group. */
+	readonly group: string;
 	/** Digest of the member table, then of the policy sections. */
 	readonly digests: readonly [number, number];
 	readonly rumors: readonly Rumor[];
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -33,17 +33,17 @@
 	/** Called when a member differs from this node and should be asked for what it holds. */
 	readonly onDiffers: (member: Member) => void;
 	readonly onMembersChanged: () => void;
-	/** Called when another process has taken this node's ID. */
-	readonly onReplaced: () => void;
+	/** Called when another process has taken this node's ID; true to outbid it and keep the ID. */
+	readonly onReplaced: () => boolean;
 };
 
 const fanOut = 3;
 const gatewayCount = 2;
 
 /**
- * Membership of a data centre and the spread of news in it, by probes of random members over
+ * Membership of a group and the spread of news in it, by probes of random members over
  * datagrams that carry news. Only a few gateways, which every node works out for itself from its
- * table, talk to other data centres.
+ * table, talk to other groups.
  *
  * @example
  * const gossip = Gossip.create(opts);
@@ -84,12 +84,12 @@
 		this.differences = Differences.create(opts.clock);
 	}
 
-	/** Members of this data centre as far as they are known. */
+	/** Members of this group as far as they are known. */
 	get table(): MemberTable {
 		return this.knowledge.table;
 	}
 
-	/** Members of other data centres that are known. */
+	/** Members of other groups that are known. */
 	get contacts(): Contacts {
 		return this.knowledge.contacts;
 	}
@@ -99,7 +99,7 @@
 		return this.knowledge.self;
 	}
 
-	/** Whether this node is one of the few that talk to other data centres. */
+	/** Whether this node is one of the few that talk to other groups. */
 	get isGateway(): boolean {
 		return this.isChosen('gateway', gatewayCount);
 	}
@@ -109,9 +109,9 @@
 		return this.roles.isChosen(role, count);
 	}
 
-	/** Milliseconds since a data centre was last heard of; -1 when it never was. */
-	heardMsAgo(dataCentre: string): number {
-		const heardMs = this.heardMs.get(dataCentre);
+	/** Milliseconds since a group was last heard of; -1 when it never was. */
+	heardMsAgo(group: string): number {
+		const heardMs = this.heardMs.get(group);
 		return heardMs === undefined ? -1 : Math.floor(this.opts.clock.monotonic() - heardMs);
 	}
 
@@ -151,7 +151,7 @@
 	/** Takes in one datagram. */
 	readonly receive = (datagram: Datagram, from: Address): void => {
 		const sender = this.senderOf(datagram);
-		this.heardMs.set(datagram.dataCentre, this.opts.clock.monotonic());
+		this.heardMs.set(datagram.group, this.opts.clock.monotonic());
 		const isNews = datagram.rumors.map(rumor => this.learn(rumor, sender)).some(Boolean);
 		switch (datagram.type) {
 			case datagramTypes.ping: {
@@ -183,6 +183,7 @@
 			}
 		}
 
+		this.correct(datagram, from);
 		this.compare(datagram, sender);
 		if (isNews) {
 			this.push();
@@ -213,7 +214,7 @@
 		return this.roles.holderOf(`held ${name} ${version}`) ?? this.self;
 	}
 
-	/** Members of this data centre that told this node that they have a section version in force. */
+	/** Members of this group that told this node that they have a section version in force. */
 	countHeld(name: string, version: number): number {
 		const told = this.held.of(name, version);
 		return this.table.alive.filter(({id}) => told.has(id)).length;
@@ -225,6 +226,28 @@
 		this.prober.greetSeeds();
 	};
 
+	/** Greets every address given, so that this node and those behind them learn of one another. */
+	readonly greet = (addresses: readonly Address[]): void => {
+		for (const address of addresses) {
+			this.outbox.send(address, datagramTypes.ping, [this.outbox.ownRumor()]);
+		}
+	};
+
+	/** Tells a sender whose record of itself is out of date, such as after its clock went back. */
+	private correct({from: id, rumors}: Datagram, from: Address): void {
+		const known = this.table.get(id);
+		const isOutdated = rumors.some(
+			rumor =>
+				rumor.kind === rumorKinds.member &&
+				rumor.member.id === id &&
+				known !== undefined &&
+				known.incarnation > rumor.member.incarnation,
+		);
+		if (known && isOutdated) {
+			this.outbox.send(from, datagramTypes.news, [{kind: rumorKinds.member, member: known}]);
+		}
+	}
+
 	private collect({rumors, from}: Datagram): void {
 		for (const rumor of rumors) {
 			if (rumor.kind === rumorKinds.section) {
@@ -251,8 +274,8 @@
 	}
 
 	private pushAbroad(): void {
-		for (const dataCentre of this.contacts.dataCentres) {
-			const contact = this.contacts.of(dataCentre)[0];
+		for (const group of this.contacts.groups) {
+			const contact = this.contacts.of(group)[0];
 			const rumors = this.outbox.foreignNews();
 			if (contact && rumors.length > 0) {
 				const own = this.outbox.ownRumor();
@@ -262,7 +285,7 @@
 	}
 
 	private answer(ping: Datagram, from: Address): void {
-		const isHome = ping.dataCentre === this.self.dataCentre;
+		const isHome = ping.group === this.self.group;
 		const known = isHome ? this.table.get(ping.from) : undefined;
 		const isDown = known && known.state !== memberStates.alive;
 		const rumors = isHome
@@ -270,7 +293,7 @@
 					...(isDown ? [{kind: rumorKinds.member, member: known} as const] : []),
 					...this.outbox.news(),
 				]
-			: [...this.contactsOffered(), ...this.introduce(ping.dataCentre)];
+			: [...this.contactsOffered(), ...this.introduce(ping.group)];
 		if (isHome && !known) {
 			rumors.unshift(this.outbox.ownRumor());
 		}
@@ -281,16 +304,16 @@
 		});
 	}
 
-	/** A few members of this data centre, for one in another to keep as contacts. */
+	/** A few members of this group, for one in another to keep as contacts. */
 	private contactsOffered(): Rumor[] {
 		const others = this.table.alive.filter(({id}) => id !== this.self.id);
 		const offered = [this.self, ...pick(others, 2, this.opts.random)];
 		return offered.map(member => ({kind: rumorKinds.contact, member}));
 	}
 
-	/** Members of a data centre that is not ours, for one of them that may not know the others yet. */
-	private introduce(dataCentre: string): Rumor[] {
-		return this.contacts.of(dataCentre).map(member => ({kind: rumorKinds.member, member}));
+	/** Members of a group that is not ours, for one of them that may not know the others yet. */
+	private introduce(group: string): Rumor[] {
+		return this.contacts.of(group).map(member => ({kind: rumorKinds.member, member}));
 	}
 
 	private learn(rumor: Rumor, sender: Member | undefined): boolean {
@@ -306,16 +329,16 @@
 		return isNews;
 	}
 
-	private senderOf({dataCentre, from}: Datagram): Member | undefined {
-		return dataCentre === this.self.dataCentre
+	private senderOf({group, from}: Datagram): Member | undefined {
+		return group === this.self.group
 			? this.table.get(from)
-			: this.contacts.of(dataCentre).find(({id}) => id === from);
+			: this.contacts.of(group).find(({id}) => id === from);
 	}
 
 	/** Asks a sender that holds something else for it, when the difference lasts. */
-	private compare({dataCentre, digests}: Datagram, sender: Member | undefined): void {
+	private compare({group, digests}: Datagram, sender: Member | undefined): void {
 		const [members, sections] = digests;
-		const isHome = dataCentre === this.self.dataCentre;
+		const isHome = group === this.self.group;
 		const differs =
 			sections !== this.opts.sectionsDigest() || (isHome && members !== this.table.digest);
 		if (sender && this.differences.isDue(differs)) {
--- a/packages/members/src/knowledge.ts
+++ b/packages/members/src/knowledge.ts
@@ -14,8 +14,8 @@
 	readonly self: Member;
 	readonly sizeOf: (rumor: Rumor) => number;
 	readonly onMembersChanged: () => void;
-	/** Called when another process has taken this node's ID. */
-	readonly onReplaced: () => void;
+	/** Called when another process has taken this node's ID; true to outbid it and keep the ID. */
+	readonly onReplaced: () => boolean;
 	/** Called with this node's own record after it overrode news of its failure. */
 	readonly onRefuted: (rumor: Rumor) => void;
 };
@@ -65,9 +65,9 @@
 			: this.learnContact(rumor.member);
 	}
 
-	/** Takes in a member of any data centre; true when it was news to be passed on. */
+	/** Takes in a member of any group; true when it was news to be passed on. */
 	learnMember(heard: Member): boolean {
-		if (heard.dataCentre !== this.me.dataCentre) {
+		if (heard.group !== this.me.group) {
 			return this.learnContact(heard);
 		}
 
@@ -79,7 +79,7 @@
 		return isNews;
 	}
 
-	/** Takes in a member of this data centre without passing it on; true when it was news. */
+	/** Takes in a member of this group without passing it on; true when it was news. */
 	merge(heard: Member): boolean {
 		if (heard.id === this.me.id) {
 			this.learnOfSelf(heard);
@@ -96,10 +96,10 @@
 		return true;
 	}
 
-	/** Takes in a member of another data centre; passes it on while few of that one are known. */
+	/** Takes in a member of another group; passes it on while few of that one are known. */
 	private learnContact(member: Member): boolean {
-		const known = this.contacts.of(member.dataCentre).length;
-		if (member.dataCentre === this.me.dataCentre || !this.contacts.merge(member)) {
+		const known = this.contacts.of(member.group).length;
+		if (member.group === this.me.group || !this.contacts.merge(member)) {
 			return false;
 		}
 
@@ -114,7 +114,12 @@
 
 	private learnOfSelf(heard: Member): void {
 		if (heard.incarnation > this.me.incarnation) {
-			this.opts.onReplaced();
+			if (this.opts.onReplaced()) {
+				this.me = {...this.me, incarnation: heard.incarnation + 1};
+				this.changeSelf({});
+				this.opts.onRefuted({kind: rumorKinds.member, member: this.me});
+			}
+
 			return;
 		}
 
--- a/packages/members/src/member.ts
+++ b/packages/members/src/member.ts
@@ -11,6 +11,8 @@
 export type Member = {
 	readonly id: string;
 	readonly dataCentre: string;
+	/** The members that keep a full table of one another: those of one data centre, or of a region. */
+	readonly group: string;
 	readonly host: string;
 	readonly peerPort: number;
 	readonly httpPort: number;
--- a/packages/members/src/outbox.ts
+++ b/packages/members/src/outbox.ts
@@ -55,7 +55,7 @@
 			type,
 			seq: more.seq ?? this.nextSeq(),
 			from: knowledge.self.id,
-			dataCentre: knowledge.self.dataCentre,
+			group: knowledge.self.group,
 			digests: [knowledge.table.digest, sectionsDigest()],
 			rumors,
 			...more,
--- a/packages/members/src/prober.ts
+++ b/packages/members/src/prober.ts
@@ -25,7 +25,7 @@
 const contactsPassedOn = 2;
 
 /**
- * Probes members: each period one at random, and as a gateway one contact of each other data centre.
+ * Probes members: each period one at random, and as a gateway one contact of each other group.
  * A member that neither answers nor can be reached by others is suspected, then given up.
  *
  * @example
@@ -122,14 +122,14 @@
 		const nowMs = clock.monotonic();
 		if (nowMs - this.contactedMs > gossipTiming.contactIntervalMs) {
 			this.contactedMs = nowMs;
-			// Seeds may name data centres that are not known yet.
+			// Seeds may name groups that are not known yet.
 			this.greetSeeds();
 			this.passContactsOn();
 		}
 
 		await Promise.all(
-			contacts.dataCentres.map(async dataCentre => {
-				const contact = contacts.of(dataCentre)[0];
+			contacts.groups.map(async group => {
+				const contact = contacts.of(group)[0];
 				const rumors = [outbox.ownRumor(), ...outbox.foreignNews()];
 				if (contact && !(await outbox.ping(addressOf(contact), rumors))) {
 					contacts.demote(contact.id);
@@ -140,8 +140,8 @@
 
 	private passContactsOn(): void {
 		const {contacts, queue} = this.opts.knowledge;
-		for (const dataCentre of contacts.dataCentres) {
-			for (const member of contacts.of(dataCentre).slice(0, contactsPassedOn)) {
+		for (const group of contacts.groups) {
+			for (const member of contacts.of(group).slice(0, contactsPassedOn)) {
 				queue.add({kind: rumorKinds.contact, member});
 			}
 		}
--- a/packages/node/src/calls/owner.ts
+++ b/packages/node/src/calls/owner.ts
@@ -61,7 +61,7 @@
 			return this.runOnce(key.value, request);
 		}
 
-		return key.value.parts.dataCentre === gossip.self.dataCentre
+		return key.value.parts.dataCentre === gossip.self.group
 			? this.passToIssuer(key.value, request, signal)
 			: this.passAbroad(key.value, request, signal);
 	};
--- a/packages/node/src/calls/router.ts
+++ b/packages/node/src/calls/router.ts
@@ -170,7 +170,7 @@
 			return outcome;
 		}
 
-		for (const dataCentre of gossip.contacts.dataCentres) {
+		for (const dataCentre of gossip.contacts.groups) {
 			const contact = gossip.contacts.of(dataCentre)[0];
 			if (!contact) {
 				continue;
--- a/packages/node/src/config/watch-shard.ts
+++ b/packages/node/src/config/watch-shard.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Log, type Random, events} from '@medlarsaddle/core';
-import {type ObjectStore, Shard} from '@medlarsaddle/platform';
+import {type ObjectStore, Shard} from '@medlarsaddle/records';
 import type {Task} from '@medlarsaddle/supervise';
 import type {Config} from './config.js';
 import type {StoreHealth} from './store-health.js';
--- a/packages/node/src/operators/get-history.ts
+++ b/packages/node/src/operators/get-history.ts
@@ -1,5 +1,5 @@
 import type {Fault} from '@medlarsaddle/core';
-import {type ChangeRecord, type ObjectStore, Shard} from '@medlarsaddle/platform';
+import {type ChangeRecord, type ObjectStore, Shard} from '@medlarsaddle/records';
 import {type Result, err, ok} from 'neverthrow';
 
 /**
--- a/packages/node/src/operators/put-policy.ts
+++ b/packages/node/src/operators/put-policy.ts
@@ -1,7 +1,7 @@
 import {type Clock, type Log, type Random, Fault, events, faultKinds} from '@medlarsaddle/core';
 import type {PutPolicyReply, PutPolicyRequest} from '@medlarsaddle/api';
-import {type ObjectStore, writeChange} from '@medlarsaddle/platform';
-import {parseSection, policyWarnings} from '@medlarsaddle/policy';
+import {type ObjectStore, writeChange} from '@medlarsaddle/records';
+import {parseSection, sectionNameOf, policyWarnings} from '@medlarsaddle/policy';
 import {type Result, err, ok} from 'neverthrow';
 import type {Config} from '../config/config.js';
 
@@ -65,7 +65,7 @@
 
 	return parseSection(text)
 		.andThen(body => {
-			const expectedName = body.kind === 'base' ? 'base' : body.service;
+			const expectedName = sectionNameOf(body);
 			return name === expectedName ? ok(body) : err(wrongName(name, expectedName));
 		})
 		.andThen(() => {
--- a/packages/node/src/operators/queries.ts
+++ b/packages/node/src/operators/queries.ts
@@ -2,7 +2,7 @@
 import type * as api from '@medlarsaddle/api';
 import {type KeyLedger, Cutoffs, type Quarantine} from '@medlarsaddle/control';
 import {type Gossip, memberStates} from '@medlarsaddle/members';
-import type {ObjectStore} from '@medlarsaddle/platform';
+import type {ObjectStore} from '@medlarsaddle/records';
 import {messageTypes} from '@medlarsaddle/wire';
 import {type Result, err, ok} from 'neverthrow';
 import type {Carrier} from '../calls/carrier.js';
@@ -79,7 +79,7 @@
 		const {gossip} = this.opts;
 		const home = await countHeld(this.opts, name, version);
 		const abroad = await Promise.all(
-			gossip.contacts.dataCentres.map(async dataCentre => ({
+			gossip.contacts.groups.map(async dataCentre => ({
 				dataCentre,
 				count: await countAbroad(this.opts, dataCentre, name, version),
 			})),
@@ -187,7 +187,7 @@
 			store,
 			policy: config.policy,
 			node: gossip.self.id,
-			dataCentres: [gossip.self.dataCentre, ...gossip.contacts.dataCentres],
+			dataCentres: [gossip.self.dataCentre, ...gossip.contacts.groups],
 			own: rollUp.own,
 			rollUpMs,
 		};
@@ -202,7 +202,7 @@
 			members: table.alive.filter(({state}) => isUp(state)).length,
 			heardMsAgo: 0,
 		};
-		const others = contacts.dataCentres.map(name => ({
+		const others = contacts.groups.map(name => ({
 			name,
 			members: contacts.of(name).length,
 			heardMsAgo: this.opts.gossip.heardMsAgo(name),
--- a/packages/node/src/report/build-report.ts
+++ b/packages/node/src/report/build-report.ts
@@ -1,7 +1,7 @@
 import type * as api from '@medlarsaddle/api';
 import type {Clock} from '@medlarsaddle/core';
 import type {Policy} from '@medlarsaddle/policy';
-import type {ObjectStore} from '@medlarsaddle/platform';
+import type {ObjectStore} from '@medlarsaddle/records';
 import {type History, burn, outcomeClasses, windows} from '@medlarsaddle/report';
 import {readReport} from './read-report.js';
 
--- a/packages/node/src/report/collector.ts
+++ b/packages/node/src/report/collector.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Log, events, faultKinds} from '@medlarsaddle/core';
-import type {ObjectStore} from '@medlarsaddle/platform';
+import type {ObjectStore} from '@medlarsaddle/records';
 import {History} from '@medlarsaddle/report';
 import {RolledUp} from './rolled-up.js';
 import {shards} from './shards.js';
--- a/packages/node/src/root/cradle.ts
+++ b/packages/node/src/root/cradle.ts
@@ -4,7 +4,7 @@
 import type {KeyLedger, Quarantine} from '@medlarsaddle/control';
 import type {Clock, Log, Random} from '@medlarsaddle/core';
 import type {Gossip, Member} from '@medlarsaddle/members';
-import type {HttpStore} from '@medlarsaddle/platform';
+import type {HttpStore} from '@medlarsaddle/records';
 import type {Tally} from '@medlarsaddle/report';
 import type {Supervisor} from '@medlarsaddle/supervise';
 import type {CallOutcome} from '@medlarsaddle/wire';
@@ -12,6 +12,7 @@
 import type {AnswerStore} from '../calls/answer-store.js';
 import type {Carrier} from '../calls/carrier.js';
 import type {Directory} from '../calls/directory.js';
+import type {Forwarder} from '../calls/forwarder.js';
 import type {Owner} from '../calls/owner.js';
 import type {Router} from '../calls/router.js';
 import type {Config} from '../config/config.js';
@@ -26,6 +27,7 @@
 import type {Settings} from '../settings/settings.js';
 import type {InFlight} from '../upstream/in-flight.js';
 import type {Slot} from '../upstream/slot.js';
+import type {UpstreamProtocol} from '../upstream/upstream-protocol.js';
 import type {Lifecycle} from './lifecycle.js';
 
 /**
@@ -39,6 +41,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Log;
+	readonly protocol: UpstreamProtocol;
 	readonly reaches: (host: string, port: number) => boolean;
 	readonly secret: string;
 	readonly self: Member;
@@ -62,6 +65,7 @@
 	readonly carrier: Carrier;
 	readonly owner: Owner;
 	readonly router: Router;
+	readonly forwarder: Forwarder;
 	readonly tally: Tally;
 	readonly collector: Collector;
 	readonly rollUp: RollUp;
--- a/packages/node/src/root/lifecycle.ts
+++ b/packages/node/src/root/lifecycle.ts
@@ -21,6 +21,7 @@
 
 	private readonly calls = new Set<Promise<void>>();
 	private beatMs: number;
+	private hasNotice = false;
 	private isLeaving = false;
 	private hasLapsed = false;
 	private readonly waiting = new Set<() => void>();
@@ -45,6 +46,16 @@
 		return this.hasLapsed;
 	}
 
+	/** Whether callers should choose this node. */
+	get isReady(): boolean {
+		return !this.hasNotice && !this.isLeaving && !this.lapsed;
+	}
+
+	/** Stops being ready while work is still taken, so that callers can turn to other nodes. */
+	giveNotice(): void {
+		this.hasNotice = true;
+	}
+
 	/** Why no new work is taken; undefined when it is. */
 	closedBy(): Fault | undefined {
 		return this.isLeaving ? leaving : undefined;
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -6,11 +6,16 @@
 import {type Clock, type Log, createRandom, events} from '@medlarsaddle/core';
 import {type Member, memberStates} from '@medlarsaddle/members';
 import type {Section} from '@medlarsaddle/policy';
+import type {Child} from '@medlarsaddle/supervise';
 import {asValue, createContainer} from 'awilix';
 import {handOverKeys} from '../calls/hand-over-keys.js';
 import type {Settings} from '../settings/settings.js';
+import {ownProtocol} from '../upstream/own-protocol.js';
+import type {UpstreamProtocol} from '../upstream/upstream-protocol.js';
 import {bindPorts} from './bind-ports.js';
+import {coreOf} from './core-of.js';
 import type {Cradle} from './cradle.js';
+import type {NodeCore} from './node-core.js';
 import {registerCalls} from './register-calls.js';
 import {registerControl} from './register-control.js';
 import {registerFronts} from './register-fronts.js';
@@ -23,6 +28,13 @@
 	readonly log: Log;
 	/** Whether an address can be reached; tests and the bench cut the network with it. */
 	readonly reaches?: (host: string, port: number) => boolean;
+	/** How calls to the upstream are written; the project's own protocol by default. */
+	readonly protocol?: UpstreamProtocol;
+	/**
+	 * Parts that run as a last branch of the supervisor tree. A node with such parts serves neither
+	 * operators nor its upstream by itself and writes no report.
+	 */
+	readonly attach?: (core: NodeCore) => readonly Child[];
 };
 
 type Ports = {
@@ -46,11 +58,19 @@
  */
 export class Node {
 	/** Binds every port, composes the node and starts it; resolves when it is ready. */
-	static async start({settings, clock, log, reaches = () => true}: Deps): Promise<Node> {
+	static async start({
+		settings,
+		clock,
+		log,
+		reaches = () => true,
+		protocol = ownProtocol,
+		attach,
+	}: Deps): Promise<Node> {
 		const {peerServer, datagrams, peerPort} = await bindPorts(settings);
 		const self: Member = {
 			id: settings.nodeId,
 			dataCentre: settings.dataCentre,
+			group: settings.group ?? settings.dataCentre,
 			host: settings.host,
 			peerPort,
 			httpPort: settings.httpPort,
@@ -65,6 +85,7 @@
 			clock: asValue(clock),
 			log: asValue(log),
 			reaches: asValue(reaches),
+			protocol: asValue(protocol),
 			random: asValue(createRandom(settings.randomSeed ?? randomInt(maxSeed))),
 			secret: asValue(randomBytes(16).toString('base64url')),
 			self: asValue(self),
@@ -76,9 +97,9 @@
 		registerReport(container);
 		registerFronts(container);
 		const {cradle} = container;
-		const ports = await listenAll(cradle, peerPort);
+		const ports = attach ? await listenPlain(cradle, peerPort) : await listenAll(cradle, peerPort);
 		const abort = new AbortController();
-		const node = new Node(cradle, ports, abort);
+		const node = new Node(cradle, ports, abort, attach);
 		await node.begin();
 		return node;
 	}
@@ -90,6 +111,7 @@
 		private readonly cradle: Cradle,
 		readonly ports: Ports,
 		private readonly abort: AbortController,
+		private readonly attach: Deps['attach'],
 	) {}
 
 	/** Name of the data centre that the node stands in. */
@@ -114,7 +136,7 @@
 
 	/** Data centres that the node has contacts in. */
 	get knownDataCentres(): readonly string[] {
-		return this.cradle.gossip.contacts.dataCentres;
+		return this.cradle.gossip.contacts.groups;
 	}
 
 	/** Whether no connection to the upstream has answered lately enough to be trusted unprobed. */
@@ -133,14 +155,17 @@
 	}
 
 	/**
-	 * Leaves in order: tells the others, takes no new work, waits for what is in flight up to the
+	 * Leaves in order: says that it is not ready, tells the others, takes no new work, waits for what is in flight up to the
 	 * time that the settings allow, hands its keys over, then ends.
 	 */
 	async stop(): Promise<void> {
 		const {lifecycle, slot, gossip, clock, log, settings} = this.cradle;
 		log(events.nodeDraining);
-		const startMs = clock.monotonic();
+		lifecycle.giveNotice();
+		await clock.sleep(settings.noticeMs / 2);
 		slot.setDraining(true);
+		await clock.sleep(settings.noticeMs / 2);
+		const startMs = clock.monotonic();
 		lifecycle.leave();
 		const isBusy = () => lifecycle.openCalls > 0 || slot.isRunning;
 		for (;;) {
@@ -169,7 +194,7 @@
 	}
 
 	private async begin(): Promise<void> {
-		const tree = buildTree(this.cradle);
+		const tree = buildTree(this.cradle, this.attach?.(coreOf(this.cradle)));
 		await new Promise<void>((resolve, reject) => {
 			this.ended = tree.run(this.abort.signal, resolve);
 			this.ended.catch(reject);
@@ -178,6 +203,13 @@
 	}
 }
 
+/** Serves callers, health and metrics only. */
+const listenPlain = async ({settings, callerApp}: Cradle, peer: number): Promise<Ports> => {
+	await callerApp.listen({host: settings.host, port: settings.httpPort});
+	const {port} = callerApp.server.address() as AddressInfo;
+	return {http: port, peer, upstream: 0, operator: 0};
+};
+
 const listenAll = async (cradle: Cradle, peer: number): Promise<Ports> => {
 	const {settings, callerApp, upstreamApp, operatorServer} = cradle;
 	const {host} = settings;
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -5,6 +5,7 @@
 import {type CallOutcome, messageTypes, runStates} from '@medlarsaddle/wire';
 import {AnswerStore} from '../calls/answer-store.js';
 import {Carrier} from '../calls/carrier.js';
+import {Forwarder} from '../calls/forwarder.js';
 import {Owner} from '../calls/owner.js';
 import {Router} from '../calls/router.js';
 import {countHeld} from '../peers/count-held.js';
@@ -55,6 +56,18 @@
 				onEnded: observe(cradle),
 			}),
 		),
+		forwarder: once(({clock, log, config, carrier, metrics}) =>
+			Forwarder.create({
+				clock,
+				log,
+				config,
+				carrier,
+				onEnded(route, {result}, elapsedMs) {
+					const outcome = result.kind === 'answer' ? String(result.status) : result.fault;
+					metrics.countRequest(route?.name ?? '', outcome, elapsedMs);
+				},
+			}),
+		),
 		handlers: once(createHandlers),
 	});
 };
@@ -68,6 +81,7 @@
 		node: self.id,
 		maxBodyBytes: settings.maxBodyBytes,
 		inFlight,
+		protocol: cradle.protocol,
 		quarantine,
 		admissionEnabled: settings.admission === 'on',
 		floors: () => config.policy.floors,
--- a/packages/node/src/root/register-control.ts
+++ b/packages/node/src/root/register-control.ts
@@ -2,7 +2,7 @@
 import {events} from '@medlarsaddle/core';
 import {KeyLedger, Quarantine} from '@medlarsaddle/control';
 import {Gossip, gossipTiming, rumorKinds} from '@medlarsaddle/members';
-import {HttpStore} from '@medlarsaddle/platform';
+import {HttpStore} from '@medlarsaddle/records';
 import {Supervisor} from '@medlarsaddle/supervise';
 import {codec} from '@medlarsaddle/wire';
 import {Directory} from '../calls/directory.js';
@@ -41,7 +41,7 @@
 		ledger: once(({clock, self, secret}) =>
 			KeyLedger.create({
 				clock,
-				dataCentre: self.dataCentre,
+				dataCentre: self.group,
 				node: self.id,
 				incarnation: self.incarnation,
 				secret,
@@ -116,6 +116,7 @@
 		onReplaced() {
 			log(events.memberRefuted, {heard: 'another process runs under this node ID'});
 			cradle.lifecycle.leave();
+			return false;
 		},
 	});
 };
--- a/packages/node/src/root/register-fronts.ts
+++ b/packages/node/src/root/register-fronts.ts
@@ -35,7 +35,7 @@
 			serveKeys(app, issueKey);
 			serveHealth(app, {
 				registry: metrics.registry,
-				isReady: () => !lifecycle.closedBy() && !lifecycle.lapsed,
+				isReady: () => lifecycle.isReady,
 			});
 			return app;
 		}),
--- a/packages/node/src/root/tree.ts
+++ b/packages/node/src/root/tree.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {rumorKinds} from '@medlarsaddle/members';
-import {Shard} from '@medlarsaddle/platform';
+import {Shard} from '@medlarsaddle/records';
 import {type Child, Supervisor, type Task, restarts} from '@medlarsaddle/supervise';
 import {serveHttp} from '../callers/serve-http.js';
 import {watchShard} from '../config/watch-shard.js';
@@ -17,12 +17,12 @@
 
 /**
  * Builds the supervisor tree of a node. Its branches have the names of the folders, and later ones
- * rely on earlier ones.
+ * rely on earlier ones. Attached parts, if there are any, are the last branch.
  *
  * @example
  * await buildTree(cradle).run(signal, () => {});
  */
-export const buildTree = (cradle: Cradle): Supervisor => {
+export const buildTree = (cradle: Cradle, attached?: readonly Child[]): Supervisor => {
 	const {clock, log} = cradle;
 	const branch = (name: string, children: readonly Child[]): Child =>
 		always(name, Supervisor.create({name, clock, log}, children).run);
@@ -34,12 +34,19 @@
 			always('windows', closeWindows(cradle)),
 			always('probe', probeUpstream(cradle)),
 		]),
-		branch('report', [always('roll-up', cradle.rollUp.run)]),
-		branch('operators', [always('grpc', serveOperators(cradle))]),
-		branch('callers', [
-			always('upstream-side', serveHttp(cradle.upstreamApp)),
-			always('caller-side', serveHttp(cradle.callerApp)),
-		]),
+		...(attached
+			? [
+					branch('callers', [always('caller-side', serveHttp(cradle.callerApp))]),
+					branch('attached', attached),
+				]
+			: [
+					branch('report', [always('roll-up', cradle.rollUp.run)]),
+					branch('operators', [always('grpc', serveOperators(cradle))]),
+					branch('callers', [
+						always('upstream-side', serveHttp(cradle.upstreamApp)),
+						always('caller-side', serveHttp(cradle.callerApp)),
+					]),
+				]),
 	]);
 };
 
--- a/packages/node/src/settings/settings-schema.ts
+++ b/packages/node/src/settings/settings-schema.ts
@@ -19,6 +19,9 @@
 export const settingsSchema = z.object({
 	nodeId: name.describe('Name of this node, unique in its data centre'),
 	dataCentre: name.describe('Name of the data centre that the host stands in'),
+	group: name
+		.optional()
+		.describe('Hosts that keep a full member table of one another; the data centre by default'),
 	host: z.ipv4().default('127.0.0.1').describe('IP number that this node listens on and announces'),
 	httpPort: port.default(8080).describe('Port for callers, health and metrics; 0 takes a free one'),
 	upstreamPort: port
@@ -49,6 +52,15 @@
 		.max(300)
 		.default(30)
 		.describe('How long a planned stop waits for work in flight, in seconds'),
+	noticeMs: z.coerce
+		.number()
+		.int()
+		.min(0)
+		.max(60_000)
+		.default(0)
+		.describe(
+			'How long a planned stop still takes new work after the node said that it is not ready, in milliseconds',
+		),
 	rollUpMs: z.coerce
 		.number()
 		.int()
--- a/packages/node/src/upstream/announcement.ts
+++ b/packages/node/src/upstream/announcement.ts
@@ -8,6 +8,8 @@
  */
 export const announcement = z.strictObject({
 	service: z.string().min(1).max(128),
+	/** IP number of the upstream; that of its node when it is not given. */
+	host: z.ipv4().optional(),
 	port: z.number().int().min(1).max(65_535),
 	slots: z.number().int().min(1).max(10_000).default(16),
 	connections: z.number().int().min(1).max(10_000).default(128),
--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -1,6 +1,6 @@
 import {type Clock, Fault, errorText, faultKinds} from '@medlarsaddle/core';
 import {type Result, err, ok} from 'neverthrow';
-import {Client, type Dispatcher} from 'undici';
+import {Client, buildConnector} from 'undici';
 import type {Answer} from '@medlarsaddle/wire';
 import {AnswerReader} from './answer-reader.js';
 import {AnswerTooLarge} from './answer-too-large.js';
@@ -51,14 +51,25 @@
 	/** When the upstream last answered on it, in monotonic milliseconds. */
 	provenMs = Number.NEGATIVE_INFINITY;
 	private readonly client: Client;
+	/** Whether the connection ended with an error, so that an answer without a length is cut short. */
+	private wasReset = false;
 
 	private constructor(private readonly opts: Opts) {
+		const connect = buildConnector({timeout: opts.connectMs});
 		this.client = new Client(opts.origin, {
 			pipelining: 1,
 			bodyTimeout: 0,
 			headersTimeout: 0,
 			keepAliveTimeout: 60_000,
-			connect: {timeout: opts.connectMs},
+			connect: (options, callback) => {
+				connect(options, (...opened) => {
+					this.wasReset = false;
+					opened[1]?.once('error', () => {
+						this.wasReset = true;
+					});
+					callback(...opened);
+				});
+			},
 		});
 	}
 
@@ -71,7 +82,9 @@
 	async send({method, path, headers, body, signal}: Send): Promise<Result<Answer, Failure>> {
 		return new Promise(resolve => {
 			const reader = new AnswerReader(this.opts.maxBodyBytes, signal, result => {
-				if (result.isOk()) {
+				if (result.isOk() && this.wasReset && !isFramed(result.value)) {
+					resolve(err(this.failureOf(new Error('the answer was cut short'), signal)));
+				} else if (result.isOk()) {
 					this.provenMs = this.opts.clock.monotonic();
 					resolve(ok(result.value));
 				} else {
@@ -119,6 +132,14 @@
 	}
 }
 
+/** Whether the end of an answer is told by its headers rather than by that of its connection. */
+const isFramed = ({status, headers}: Answer): boolean =>
+	status === 204 ||
+	status === 304 ||
+	headers.some(
+		(name, index) => index % 2 === 0 && /^(content-length|transfer-encoding)$/iv.test(name),
+	);
+
 const answerTooLarge = Fault.of(
 	faultKinds.tooLarge,
 	'The answer is larger than this node passes on',
--- a/packages/node/src/upstream/execute.ts
+++ b/packages/node/src/upstream/execute.ts
@@ -1,11 +1,13 @@
-import {faultKinds} from '@medlarsaddle/core';
+import {type Fault, faultKinds} from '@medlarsaddle/core';
 import type {Admission} from '@medlarsaddle/control';
-import {type CallOutcome, type CallRequest, runStates} from '@medlarsaddle/wire';
+import {type CallOutcome, type CallRequest, type Refusal, runStates} from '@medlarsaddle/wire';
 import type {CrashWatch} from './crash-watch.js';
 import type {InFlight} from './in-flight.js';
 import type {InFlightCall} from './in-flight-call.js';
 import type {Pool} from './pool.js';
 import type {SilenceWatch} from './silence-watch.js';
+import {slotFaults} from './slot-faults.js';
+import type {UpstreamProtocol} from './upstream-protocol.js';
 
 type Deps = {
 	readonly inFlight: InFlight;
@@ -13,6 +15,11 @@
 	readonly crashes: CrashWatch;
 	readonly admission: Admission;
 	readonly pool: Pool;
+	readonly protocol: UpstreamProtocol;
+	/** The announced instance of the upstream. */
+	readonly instance: string;
+	/** Called when another instance has the upstream's address. */
+	readonly onReplaced: () => void;
 };
 
 type Executed = {
@@ -27,7 +34,7 @@
  * const {call, result} = await execute(deps, request, signal);
  */
 export const execute = async (
-	{inFlight, silence, crashes, admission, pool}: Deps,
+	{inFlight, silence, crashes, admission, pool, protocol, instance, onReplaced}: Deps,
 	request: CallRequest,
 	signal: AbortSignal,
 ): Promise<Executed> => {
@@ -38,25 +45,37 @@
 	const answer = await connection.send({
 		method: request.method,
 		path: request.path,
-		headers: [
-			...request.headers,
-			'medlar-context',
-			token,
-			'medlar-deadline-ms',
-			String(Math.max(0, Math.floor(request.remainingMs))),
-		],
+		headers: protocol.headersFor({request, instance, context: token}),
 		body: request.body,
 		signal: watch.signal,
 	});
 	watch.stop();
 	inFlight.close(token);
-	pool.giveBack(connection);
 	if (answer.isOk()) {
-		silence.noteEnded(call);
-		admission.leave(request.job, {ownMs: call.ownMs, heldMs: call.heldMs});
-		return {call, result: answer.value};
+		const reply = protocol.read(answer.value, request);
+		if (reply.kind === 'answer') {
+			pool.giveBack(connection);
+			silence.noteEnded(call);
+			admission.leave(request.job, {ownMs: call.ownMs, heldMs: call.heldMs});
+			return {call, result: reply.answer};
+		}
+
+		admission.leave(request.job);
+		if (reply.kind === 'foreign') {
+			// What comes next on this connection cannot be told from an answer to a later call.
+			pool.drop(connection);
+			return {call, result: refusal(slotFaults.foreignAnswer, runStates.unknown)};
+		}
+
+		pool.giveBack(connection);
+		if (reply.isOtherInstance) {
+			onReplaced();
+		}
+
+		return {call, result: refusal(slotFaults.notTaken, runStates.notRun)};
 	}
 
+	pool.giveBack(connection);
 	admission.leave(request.job);
 	const {fault, mayHaveRun, wasClosed} = answer.error;
 	if (wasClosed) {
@@ -76,3 +95,11 @@
 		},
 	};
 };
+
+const refusal = (fault: Fault, run: Refusal['run']): Refusal => ({
+	kind: 'refusal',
+	fault: fault.kind,
+	what: fault.what,
+	remedy: fault.remedy,
+	run,
+});
--- a/packages/node/src/upstream/slot-faults.ts
+++ b/packages/node/src/upstream/slot-faults.ts
@@ -17,6 +17,16 @@
 		'Requests with this content are held back because they crashed upstreams',
 		'Report it to the operators; `medlarsaddle status` lists it with its end',
 	),
+	notTaken: Fault.of(
+		faultKinds.overloaded,
+		'The upstream rejected the call before it ran it',
+		'Send the call again; it will go to another host',
+	),
+	foreignAnswer: Fault.of(
+		faultKinds.upstreamFailed,
+		'The upstream sent an answer that belongs to another call',
+		'Look up whether the action took effect before sending it again',
+	),
 	suspectBusy: Fault.of(
 		faultKinds.overloaded,
 		'A request with this content may have crashed an upstream, and another such request runs here',
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -13,6 +13,7 @@
 import {SilenceWatch} from './silence-watch.js';
 import {slotFaults} from './slot-faults.js';
 import {Suspects} from './suspects.js';
+import type {UpstreamProtocol} from './upstream-protocol.js';
 import {UpstreamLease} from './upstream-lease.js';
 
 type Announcement = z.infer<typeof announcement>;
@@ -24,6 +25,7 @@
 	readonly node: string;
 	readonly maxBodyBytes: number;
 	readonly inFlight: InFlight;
+	readonly protocol: UpstreamProtocol;
 	readonly quarantine: Quarantine;
 	readonly admissionEnabled: boolean;
 	readonly floors: () => readonly number[];
@@ -105,6 +107,7 @@
 			before?.instance === next.instance &&
 			before.service === next.service &&
 			before.port === next.port &&
+			before.host === next.host &&
 			before.connections === next.connections;
 		if (isSame && this.serving) {
 			this.serving = {...this.serving, announcement: next};
@@ -212,9 +215,16 @@
 		const remainingMs = deadlineMs - startMs - waitedMs;
 		try {
 			this.started++;
-			const {inFlight} = this.opts;
+			const {inFlight, protocol} = this.opts;
 			const {silence, crashes} = this;
-			const deps = {inFlight, silence, crashes, ...serving};
+			const {instance} = serving.announcement;
+			const onReplaced = () => {
+				if (this.serving === serving) {
+					this.withdraw();
+				}
+			};
+
+			const deps = {inFlight, silence, crashes, protocol, instance, onReplaced, ...serving};
 			const {call, result} = await execute(deps, {...request, remainingMs}, signal);
 			return this.outcome(admission, call, result, waitedMs);
 		} finally {
@@ -229,7 +239,7 @@
 		return {
 			announcement: next,
 			pool: Pool.create({
-				origin: `http://${host}:${next.port}`,
+				origin: `http://${next.host ?? host}:${next.port}`,
 				healthPath: next.healthPath,
 				maxConnections: next.connections,
 				maxBodyBytes,
--- a/packages/node/test/collector.test.ts
+++ b/packages/node/test/collector.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Fault, ManualClock, faultKinds} from '@medlarsaddle/core';
-import type {ObjectStore} from '@medlarsaddle/platform';
+import type {ObjectStore} from '@medlarsaddle/records';
 import {type History, Tally, burn, outcomeClasses} from '@medlarsaddle/report';
 import {err, ok} from 'neverthrow';
 import {Collector} from '../src/report/collector.js';
--- a/packages/node/test/peer.test.ts
+++ b/packages/node/test/peer.test.ts
@@ -41,6 +41,7 @@
 		member: {
 			id: 'b',
 			dataCentre: 'dc1',
+			group: 'dc1',
 			host: '127.0.0.1',
 			peerPort: (server.address() as net.AddressInfo).port,
 			httpPort: 0,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,4 @@
+export type {Route} from './route.js';
 export type {Section} from './section.js';
 export type {SectionBody} from './section-body.js';
 export type {Terms} from './terms.js';
@@ -5,3 +6,5 @@
 export {Policy} from './policy.js';
 export {policyLimits} from './policy-limits.js';
 export {policyWarnings} from './policy-warnings.js';
+export {sectionNameOf} from './section-name-of.js';
+export {RouteTable} from './route-table.js';
--- a/packages/policy/src/parse-section.ts
+++ b/packages/policy/src/parse-section.ts
@@ -5,9 +5,10 @@
 import {baseSection} from './base-section.js';
 import {policyLimits} from './policy-limits.js';
 import type {SectionBody} from './section-body.js';
+import {routesSection} from './routes-section.js';
 import {serviceSection} from './service-section.js';
 
-const sectionSchema = z.discriminatedUnion('kind', [baseSection, serviceSection]);
+const sectionSchema = z.discriminatedUnion('kind', [baseSection, serviceSection, routesSection]);
 
 const remedy = 'Correct the lines named here and put the file again';
 
@@ -19,16 +20,24 @@
  * const parsed = parseSection('kind: service\nservice: map\njobs: []\n');
  */
 export const parseSection = (text: string): Result<SectionBody, Fault> => {
-	if (Buffer.byteLength(text) > policyLimits.maxSectionBytes) {
+	const fromJson = parseJson(text);
+	const checkedJson = fromJson === undefined ? undefined : sectionSchema.safeParse(fromJson);
+	const isRoutes = checkedJson?.data?.kind === 'routes';
+	const maxBytes = isRoutes ? policyLimits.maxRoutesBytes : policyLimits.maxSectionBytes;
+	if (Buffer.byteLength(text) > maxBytes) {
 		return err(
 			Fault.of(
 				faultKinds.tooLarge,
-				`The section is larger than ${policyLimits.maxSectionBytes} bytes`,
+				`The section is larger than ${maxBytes} bytes`,
 				'Split the service into several, or match its jobs by prefix',
 			),
 		);
 	}
 
+	if (checkedJson?.success) {
+		return ok(checkedJson.data);
+	}
+
 	const lines = new LineCounter();
 	const document = parseDocument(text, {lineCounter: lines, prettyErrors: false});
 	const syntaxFaults = document.errors.map(
@@ -57,6 +66,19 @@
 	return err(Fault.of(faultKinds.badPolicy, found.join('; '), remedy));
 };
 
+/** The value of a JSON text, which reads much faster than YAML; undefined when it is none. */
+const parseJson = (text: string): unknown => {
+	if (!text.startsWith('{')) {
+		return undefined;
+	}
+
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+};
+
 /** Line of the nearest node that exists on the path. */
 const lineOf = (
 	document: ReturnType<typeof parseDocument>,
--- a/packages/policy/src/policy-limits.ts
+++ b/packages/policy/src/policy-limits.ts
@@ -7,4 +7,7 @@
 	maxPatternStars: 4,
 	maxDeadlineMs: 120_000,
 	maxRetries: 10,
+	maxRoutes: 20_000,
+	/** A routes section may fill an object of the platform's store. */
+	maxRoutesBytes: 1024 * 1024,
 } as const;
--- a/packages/policy/src/policy.ts
+++ b/packages/policy/src/policy.ts
@@ -6,6 +6,7 @@
 import type {JobRule} from './job-rule.js';
 import {matches} from './matches.js';
 import {parseSection} from './parse-section.js';
+import {RouteTable} from './route-table.js';
 import type {Section} from './section.js';
 import type {SectionBody} from './section-body.js';
 import type {serviceSection} from './service-section.js';
@@ -34,7 +35,7 @@
 export class Policy {
 	/** Creates a policy without sections. */
 	static empty(): Policy {
-		return new Policy(new Map(), fallbackBase, new Map());
+		return new Policy(new Map(), fallbackBase, new Map(), undefined);
 	}
 
 	private readonly rules = new Map<string, readonly JobRule[]>();
@@ -44,6 +45,8 @@
 		readonly sections: ReadonlyMap<string, Section>,
 		readonly base: Base,
 		private readonly services: ReadonlyMap<string, Service>,
+		/** Routes by host and path; undefined until a section holds some. */
+		readonly routes: RouteTable | undefined,
 	) {
 		this.byService = new Map([...services.values()].map(body => [body.service, body]));
 	}
@@ -113,7 +116,11 @@
 	private withBody(section: Section, body: SectionBody): Result<Policy, Fault> {
 		const sections = new Map(this.sections).set(section.name, section);
 		if (body.kind === 'base') {
-			return ok(new Policy(sections, body, this.services));
+			return ok(new Policy(sections, body, this.services, this.routes));
+		}
+
+		if (body.kind === 'routes') {
+			return ok(new Policy(sections, this.base, this.services, RouteTable.of(body)));
 		}
 
 		const owner = [...this.services].find(
@@ -129,7 +136,8 @@
 			);
 		}
 
-		return ok(new Policy(sections, this.base, new Map(this.services).set(section.name, body)));
+		const services = new Map(this.services).set(section.name, body);
+		return ok(new Policy(sections, this.base, services, this.routes));
 	}
 
 	private rulesOf(service: string): readonly JobRule[] {
--- /dev/null
+++ b/packages/policy/src/route-table.ts
@@ -0,0 +1,59 @@
+import type {z} from 'zod';
+import type {Route} from './route.js';
+import type {routesSection} from './routes-section.js';
+
+type Body = z.infer<typeof routesSection>;
+
+/**
+ * Finds the route of a request: among the routes of its host, the one with the longest prefix of its
+ * path.
+ *
+ * @example
+ * const route = RouteTable.of(body).find('shop.example', '/pay/1?x=2');
+ */
+export class RouteTable {
+	/** Builds the table of a checked section. */
+	static of(body: Body): RouteTable {
+		return new RouteTable(body);
+	}
+
+	readonly callerLimits: Body['callerLimits'];
+	/** Least urgent rank of any route. */
+	readonly lastRank: number;
+	private readonly byHost = new Map<string, Map<string, Route>>();
+	private readonly services: ReadonlyMap<string, Body['services'][number]>;
+
+	private constructor(body: Body) {
+		this.callerLimits = body.callerLimits;
+		this.services = new Map(body.services.map(service => [service.name, service]));
+		this.lastRank = Math.max(0, ...body.routes.map(({rank}) => rank));
+		for (const route of body.routes) {
+			const routes = this.byHost.get(route.host) ?? new Map<string, Route>();
+			this.byHost.set(route.host, routes.set(route.pathPrefix, route));
+		}
+	}
+
+	/** The route of a request target; undefined when none matches. `host` may carry a port. */
+	find(host: string, target: string): Route | undefined {
+		const routes = this.byHost.get(host.toLowerCase().replace(/:\d+$/v, ''));
+		if (!routes) {
+			return undefined;
+		}
+
+		const queryAt = target.indexOf('?');
+		const path = queryAt === -1 ? target : target.slice(0, queryAt);
+		for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+			const route = routes.get(path.slice(0, end + 1));
+			if (route ?? end === 0) {
+				return route;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** What is configured of a service. */
+	service(name: string): Body['services'][number] | undefined {
+		return this.services.get(name);
+	}
+}
--- a/packages/policy/src/section-body.ts
+++ b/packages/policy/src/section-body.ts
@@ -1,5 +1,6 @@
 import type {z} from 'zod';
 import type {baseSection} from './base-section.js';
+import type {routesSection} from './routes-section.js';
 import type {serviceSection} from './service-section.js';
 
 /**
@@ -10,4 +11,5 @@
  * 	console.log(body.jobs.length);
  * }
  */
-export type SectionBody = z.infer<typeof baseSection> | z.infer<typeof serviceSection>;
+export type SectionBody =
+	z.infer<typeof baseSection> | z.infer<typeof serviceSection> | z.infer<typeof routesSection>;
--- a/packages/testbed/src/harness/gossip-network.ts
+++ b/packages/testbed/src/harness/gossip-network.ts
@@ -69,6 +69,7 @@
 			self: {
 				id,
 				dataCentre,
+				group: dataCentre,
 				host: hostName,
 				peerPort: port,
 				httpPort: port,
@@ -93,6 +94,7 @@
 			onMembersChanged() {},
 			onReplaced() {
 				site.replaced = true;
+				return false;
 			},
 		});
 		const stop = () => {
--- a/packages/testbed/src/harness/member-table-of.ts
+++ b/packages/testbed/src/harness/member-table-of.ts
@@ -16,6 +16,7 @@
 		table.merge({
 			id: `dc1-${index}`,
 			dataCentre: 'dc1',
+			group: 'dc1',
 			host: `10.0.${index % 250}.${index % 200}`,
 			peerPort: 8081,
 			httpPort: 8080,
