--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -6,6 +6,7 @@
 import type {Cutoffs} from './cutoffs.js';
 import {HoldTimes} from './hold-times.js';
 import {Interval} from './interval.js';
+import type {Limit} from './limit.js';
 import {RankQueue} from './rank-queue.js';
 
 type Opts = {
@@ -15,6 +16,10 @@
 	readonly maxLimit: number;
 	/** Off admits everything at once: the baseline that the bench compares with. */
 	readonly enabled?: boolean;
+	/** The limit; found from latency by default. */
+	readonly limit?: Limit;
+	/** Whether ranks are cut off here; not where the entries are told what share to admit. */
+	readonly hasCutoffs?: boolean;
 };
 
 type Call = {
@@ -68,7 +73,7 @@
 		return new Admission(opts);
 	}
 
-	private readonly limit: ConcurrencyLimit;
+	private readonly limit: Limit;
 	private readonly control: CutoffControl;
 	private readonly queue: RankQueue;
 	private interval = Interval.create();
@@ -78,7 +83,7 @@
 	private refusedCount = 0;
 
 	private constructor(private readonly opts: Opts) {
-		this.limit = ConcurrencyLimit.create(opts);
+		this.limit = opts.limit ?? ConcurrencyLimit.create(opts);
 		this.control = CutoffControl.create(opts.floors);
 		this.queue = RankQueue.create(opts.floors);
 	}
@@ -103,6 +108,29 @@
 		return this.limit.value;
 	}
 
+	/** Time that calls hold their place, in milliseconds; 0 before the first ended. */
+	get meanHoldMs(): number {
+		return this.holds.meanMs;
+	}
+
+	/** Time that one more call would wait for a place, in milliseconds. */
+	get waitMs(): number {
+		const ahead = this.running + this.queue.size + 1 - this.limit.value;
+		return (Math.max(0, ahead) * this.holds.meanMs) / this.limit.value;
+	}
+
+	/** Time that a job holds its place, in milliseconds; 0 before the first ended. */
+	holdMs(job: string): number {
+		return this.holds.of(job);
+	}
+
+	/** Refuses every call that waits; those that run go on. */
+	refuseWaiting(): void {
+		for (const waiter of this.queue.expired(Number.POSITIVE_INFINITY)) {
+			waiter.refuse();
+		}
+	}
+
 	/** Calls refused since the start. */
 	get refused(): number {
 		return this.refusedCount;
@@ -181,6 +209,11 @@
 	}
 
 	private setCutoffs(): void {
+		if (this.opts.hasCutoffs === false) {
+			this.interval = Interval.create();
+			return;
+		}
+
 		const {interval, holds, control} = this;
 		const standingMs = Math.max(minStandingMs, holds.meanMs * standingCalls);
 		// Until the limit is known, completions say nothing about the capacity.
--- /dev/null
+++ b/packages/control/src/entry-shares.ts
@@ -0,0 +1,104 @@
+import type {Clock} from '@medlarsaddle/core';
+import {sharesByRank} from './shares-by-rank.js';
+
+type Request = {
+	readonly job: string;
+	readonly rank: number;
+	/** Work of one such request at each service, in milliseconds of places. */
+	readonly footprint: ReadonlyMap<string, number>;
+};
+
+type Opts = {
+	readonly clock: Clock;
+	/** Share of the work wanted that a service can take. */
+	readonly shareOf: (service: string) => number;
+};
+
+/** Time after which what was wanted counts half. */
+const halfLifeMs = 1000;
+
+/** Services of which a request takes less are not asked, in milliseconds of places. */
+const leastWorkMs = 1;
+
+/**
+ * Decides at the entry which requests begin while services further down cannot take all that is
+ * wanted of them. Shares are divided among ranks by what this entry was lately asked for, and dealt
+ * out evenly within a rank. Answers the load pattern in which a burst of one kind of request starves
+ * others at a service that all of them call.
+ *
+ * @example
+ * if (!shares.admits({job, rank, footprint})) {
+ * 	refuse();
+ * }
+ */
+export class EntryShares {
+	/** Creates shares for an entry that was asked for nothing yet. */
+	static create(opts: Opts): EntryShares {
+		return new EntryShares(opts);
+	}
+
+	/** Work lately wanted, by service and rank. */
+	private readonly wanted = new Map<string, number[]>();
+	/** Share that a job was admitted to and has not used, for even spacing. */
+	private readonly credits = new Map<string, number>();
+	private decayedMs: number;
+
+	private constructor(private readonly opts: Opts) {
+		this.decayedMs = opts.clock.monotonic();
+	}
+
+	/** Whether a request may begin, and the service that is short of room when it may not. */
+	admits({job, rank, footprint}: Request): {readonly isAdmitted: boolean; readonly by?: string} {
+		this.decay();
+		let least = 1;
+		let by: string | undefined;
+		for (const [service, workMs] of footprint) {
+			if (workMs < leastWorkMs) {
+				continue;
+			}
+
+			const wanted = this.wanted.get(service) ?? [];
+			while (wanted.length <= rank) {
+				wanted.push(0);
+			}
+
+			wanted[rank]! += workMs;
+			this.wanted.set(service, wanted);
+			const share = this.opts.shareOf(service);
+			if (share < 1) {
+				const budget = share * wanted.reduce((sum, work) => sum + work, 0);
+				const admitted = sharesByRank(wanted, budget)[rank]!;
+				if (admitted < least) {
+					least = admitted;
+					by = service;
+				}
+			}
+		}
+
+		return this.deal(job, least) ? {isAdmitted: true} : {isAdmitted: false, by};
+	}
+
+	/** Admits `share` of the calls of a job, spaced evenly. */
+	private deal(job: string, share: number): boolean {
+		if (share >= 1) {
+			this.credits.delete(job);
+			return true;
+		}
+
+		const credit = (this.credits.get(job) ?? 1 - share) + share;
+		this.credits.set(job, credit >= 1 ? credit - 1 : credit);
+		return credit >= 1;
+	}
+
+	private decay(): void {
+		const nowMs = this.opts.clock.monotonic();
+		const kept = 0.5 ** ((nowMs - this.decayedMs) / halfLifeMs);
+		this.decayedMs = nowMs;
+		for (const [service, wanted] of this.wanted) {
+			this.wanted.set(
+				service,
+				wanted.map(work => work * kept),
+			);
+		}
+	}
+}
--- a/packages/core/src/fault-kinds.ts
+++ b/packages/core/src/fault-kinds.ts
@@ -13,6 +13,7 @@
 	unknownService: 'unknown-service',
 	unreachable: 'unreachable',
 	upstreamFailed: 'upstream-failed',
+	upstreamRefused: 'upstream-refused',
 	truncated: 'truncated-answer',
 	tooLarge: 'too-large',
 	headersTooLarge: 'headers-too-large',
--- a/packages/node/src/calls/arrival.ts
+++ b/packages/node/src/calls/arrival.ts
@@ -16,6 +16,4 @@
 	readonly body: Uint8Array;
 	/** Milliseconds that the caller still waits; undefined when it did not say. */
 	readonly remainingMs?: number;
-	/** Whether the upstream on this host sent it while it ran another request. */
-	readonly isFromUpstream: boolean;
 };
--- a/packages/node/src/calls/carrier.ts
+++ b/packages/node/src/calls/carrier.ts
@@ -1,11 +1,5 @@
-import {type Clock, type Random, faultKinds} from '@medlarsaddle/core';
-import {
-	type Allowance,
-	type Endpoint,
-	EndpointStats,
-	RetryRatio,
-	chooseEndpoint,
-} from '@medlarsaddle/control';
+import {type Clock, faultKinds} from '@medlarsaddle/core';
+import type {Allowance, Endpoint, RetryRatio} from '@medlarsaddle/control';
 import type {Member} from '@medlarsaddle/members';
 import {type CallOutcome, type CallRequest, callModes, runStates} from '@medlarsaddle/wire';
 import type {Peers} from '../peers/peers.js';
@@ -13,14 +7,19 @@
 import type {Slot} from '../upstream/slot.js';
 import {callFaults} from './call-faults.js';
 import type {Directory} from './directory.js';
+import type {EndpointSelector} from './endpoint-selector.js';
 
 type Opts = {
 	readonly clock: Clock;
-	readonly random: Random;
 	readonly directory: Directory;
 	readonly peers: Peers;
 	readonly slot: Slot;
 	readonly selfId: string;
+	readonly selector: EndpointSelector;
+	/** Makes the bound on retries for one service. */
+	readonly createRatio: () => RetryRatio;
+	/** Refusals after which another endpoint may be asked without spending a retry. */
+	readonly freeFaults: ReadonlySet<string>;
 	/** Whether retries are bounded; off only for comparison. */
 	readonly boundsRetries: boolean;
 };
@@ -29,9 +28,6 @@
 const maxFreeChoices = 2;
 const maxRatios = 2000;
 
-/** Refusals that come from an outdated list of endpoints and cost no retry. */
-const outdated = new Set<string>([faultKinds.draining, faultKinds.noEndpoint]);
-
 /**
  * Carries a call to an endpoint, and to another when that is safe and the allowance permits.
  *
@@ -44,7 +40,6 @@
 		return new Carrier(opts);
 	}
 
-	readonly stats = EndpointStats.create();
 	/** Calls sent again since the start. */
 	retries = 0;
 	private readonly ratios = new Map<string, RetryRatio>();
@@ -66,7 +61,7 @@
 		let mayHaveRun = false;
 		let last = refusalOf(callFaults.noEndpoint, runStates.notRun, 0, {retryAfterMs: 1000});
 		for (;;) {
-			const endpoint = this.choose(request.service, tried);
+			const endpoint = this.opts.selector.choose(request, tried);
 			const remainingMs = endMs - clock.monotonic();
 			if (!endpoint || remainingMs <= 0 || signal.aborted) {
 				return ended(last, mayHaveRun, allowance);
@@ -83,7 +78,8 @@
 
 			const isFree =
 				last.result.kind === 'refusal' &&
-				outdated.has(last.result.fault) &&
+				last.result.run === runStates.notRun &&
+				this.opts.freeFaults.has(last.result.fault) &&
 				freeChoices < maxFreeChoices;
 			if (isFree) {
 				freeChoices++;
@@ -103,20 +99,14 @@
 		return allowance.remaining > 0 && ratio.spend() && allowance.spend();
 	}
 
-	private choose(service: string, tried: ReadonlySet<string>): Endpoint | undefined {
-		const {clock, random, directory} = this.opts;
-		const endpoints = directory.endpointsOf(service);
-		return chooseEndpoint({endpoints, tried, stats: this.stats, random, nowMs: clock.monotonic()});
-	}
-
 	private async attempt(
 		endpoint: Endpoint,
 		request: CallRequest,
 		signal: AbortSignal,
 	): Promise<CallOutcome> {
-		const {clock, slot, selfId, peers, directory} = this.opts;
+		const {clock, slot, selfId, peers, directory, selector} = this.opts;
 		const startMs = clock.monotonic();
-		this.stats.began(endpoint.node);
+		selector.began(endpoint.node);
 		const member: Member | undefined = directory.memberOf(endpoint.node);
 		const outcome =
 			endpoint.node === selfId
@@ -124,12 +114,7 @@
 				: member
 					? await peers.call(member, callModes.run, request, signal)
 					: refusalOf(callFaults.noEndpoint, runStates.notRun, request.allowance);
-		const nowMs = clock.monotonic();
-		this.stats.ended(
-			endpoint.node,
-			{ok: verdictOf(outcome), latencyMs: nowMs - startMs, load: outcome.load},
-			nowMs,
-		);
+		selector.ended(endpoint.node, request, outcome, clock.monotonic() - startMs);
 		return outcome;
 	}
 
@@ -139,7 +124,7 @@
 			return known;
 		}
 
-		const fresh = RetryRatio.create();
+		const fresh = this.opts.createRatio();
 		if (this.ratios.size < maxRatios) {
 			this.ratios.set(service, fresh);
 		}
@@ -159,22 +144,8 @@
 	};
 };
 
-const serverErrors = 500;
 const serviceUnavailable = 503;
 
-/** Whether an endpoint did well, did badly, or showed neither. */
-const verdictOf = ({result}: CallOutcome): boolean | undefined => {
-	if (result.kind === 'answer') {
-		return result.status < serverErrors;
-	}
-
-	const isFailure =
-		result.fault === faultKinds.unreachable ||
-		result.fault === faultKinds.upstreamFailed ||
-		result.fault === faultKinds.deadline;
-	return isFailure ? false : undefined;
-};
-
 /** Whether sending the call once more cannot run an action twice and may help. */
 const mayRepeat = ({result}: CallOutcome, request: CallRequest): boolean => {
 	if (result.kind === 'answer') {
--- a/packages/node/src/calls/directory.ts
+++ b/packages/node/src/calls/directory.ts
@@ -29,6 +29,12 @@
 		return [...this.byService.values()].flat();
 	}
 
+	/** Number of hosts of each service. */
+	get hostsByService(): ReadonlyMap<string, number> {
+		this.byService ??= this.build();
+		return new Map([...this.byService].map(([service, endpoints]) => [service, endpoints.length]));
+	}
+
 	/** Nodes that offer any service. */
 	get nodes(): ReadonlySet<string> {
 		return new Set(this.all.map(({node}) => node));
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -1,22 +1,37 @@
-import {type Clock, Fault, type Log, events, faultKinds} from '@medlarsaddle/core';
-import {Allowance, WeightedTurns, cohortOf} from '@medlarsaddle/control';
+import {type Clock, Fault, type Log, type Random, events, faultKinds} from '@medlarsaddle/core';
+import {Allowance, EntryShares, WeightedTurns, cohortOf} from '@medlarsaddle/control';
 import type {Route} from '@medlarsaddle/policy';
 import {type CallOutcome, type CallRequest, runStates} from '@medlarsaddle/wire';
 import type {Config} from '../config/config.js';
 import {refusalOf} from '../peers/refusals.js';
+import type {Pressure} from '../upstream/pressure.js';
 import type {Arrival} from './arrival.js';
 import {callFaults} from './call-faults.js';
 import type {Carrier} from './carrier.js';
 
 type Opts = {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly log: Log;
 	readonly config: Config;
 	readonly carrier: Carrier;
+	readonly pressure: Pressure;
+	/** Service of the upstream on this host. */
+	readonly origin: string;
 	/** Called once for each request that ended. */
 	readonly onEnded: (route: Route | undefined, outcome: CallOutcome, elapsedMs: number) => void;
 };
 
+/** Callers wait for a third of the time that they have left at most; beyond it they return early. */
+const latestReturn = 0.32;
+const minReturnMs = 200;
+
+/** Share of a route's time that an answer usually takes. */
+const usualShare = 0.4;
+
+/** Share of the time to return that is drawn at random. */
+const returnSpread = 0.35;
+
 /**
  * Forwards requests by the routes in force: finds the route, takes the turn of one of its services
  * and carries the request to an endpoint.
@@ -32,7 +47,12 @@
 
 	private turns = new Map<string, WeightedTurns>();
 
-	private constructor(private readonly opts: Opts) {}
+	private readonly entry: EntryShares;
+
+	private constructor(private readonly opts: Opts) {
+		const {clock, pressure} = opts;
+		this.entry = EntryShares.create({clock, shareOf: service => pressure.shares.shareOf(service)});
+	}
 
 	/** Carries a request through to its answer or refusal. */
 	async forward(arrival: Arrival, signal: AbortSignal): Promise<CallOutcome> {
@@ -58,7 +78,6 @@
 			by: result.kind === 'refusal' ? result.by : undefined,
 			budgetMs: arrival.remainingMs,
 			tookMs: Math.round(elapsedMs),
-			isFromUpstream: arrival.isFromUpstream || undefined,
 		});
 		return outcome;
 	}
@@ -69,15 +88,30 @@
 			return refusalOf(callFaults.noEndpoint, runStates.notRun, 0);
 		}
 
-		const {id, method, target, headers, body, isFromUpstream} = arrival;
+		const {id, method, target, headers, body} = arrival;
 		const remainingMs = Math.min(route.timeoutMs, arrival.remainingMs ?? route.timeoutMs);
 		if (remainingMs <= 0) {
 			return refusalOf(callFaults.noTimeLeft, runStates.notRun, 0);
 		}
 
+		// Names of routes change with the configuration, what they take does not.
+		const job = `${route.host}${route.pathPrefix}`;
+		const {pressure, origin} = this.opts;
+		const isCall = pressure.isCall(job);
+		if (isCall) {
+			pressure.made(job);
+		} else {
+			const footprint = pressure.footprints.of(job);
+			const {isAdmitted, by} = this.entry.admits({job, rank: route.rank, footprint});
+			if (!isAdmitted) {
+				const retryAfterMs = this.returnMs(route, remainingMs);
+				return refusalOf(callFaults.pressedBelow, runStates.notRun, 0, {retryAfterMs, by});
+			}
+		}
+
 		const request: CallRequest = {
 			service,
-			job: route.name,
+			job,
 			method,
 			path: target,
 			headers,
@@ -87,10 +121,25 @@
 			cohort: cohortOf(id),
 			remainingMs,
 			allowance: 0,
-			depth: isFromUpstream ? 1 : 0,
+			depth: isCall ? 1 : 0,
+			origin,
 			idempotent: route.idempotent,
 		};
-		return this.opts.carrier.carry(request, Allowance.of(route.attempts - 1), signal);
+		const allowance = Allowance.of(route.attempts - 1);
+		const outcome = await this.opts.carrier.carry(request, allowance, signal);
+		pressure.learn(job, outcome);
+		return outcome;
+	}
+
+	/**
+	 * When a refused caller should return: so late that the load may have changed, so early that its
+	 * answer can still come within the goal, and spread so that callers do not return together.
+	 */
+	private returnMs({goalMs, timeoutMs}: Route, remainingMs: number): number {
+		const latestMs = remainingMs * latestReturn;
+		const inGoalMs = goalMs - Math.min(goalMs, timeoutMs) * usualShare;
+		const aimedMs = Math.min(latestMs, Math.max(minReturnMs, inGoalMs));
+		return aimedMs * (1 - returnSpread * this.opts.random.next());
 	}
 
 	private turnsOf({name}: Route): WeightedTurns {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -3,6 +3,7 @@
 export type {Settings} from './settings/settings.js';
 export type {UpstreamProtocol} from './upstream/upstream-protocol.js';
 export type {UpstreamReply} from './upstream/upstream-reply.js';
+export {routeStrategy} from './root/route-strategy.js';
 export {Node} from './root/node.js';
 export {describeSettings} from './settings/describe-settings.js';
 export {readSettings} from './settings/read-settings.js';
--- a/packages/node/src/operators/queries.ts
+++ b/packages/node/src/operators/queries.ts
@@ -5,7 +5,7 @@
 import type {ObjectStore} from '@medlarsaddle/records';
 import {messageTypes} from '@medlarsaddle/wire';
 import {type Result, err, ok} from 'neverthrow';
-import type {Carrier} from '../calls/carrier.js';
+import type {EndpointSelector} from '../calls/endpoint-selector.js';
 import type {Directory} from '../calls/directory.js';
 import type {Config} from '../config/config.js';
 import type {StoreHealth} from '../config/store-health.js';
@@ -29,7 +29,7 @@
 	readonly health: StoreHealth;
 	readonly gossip: Gossip;
 	readonly directory: Directory;
-	readonly carrier: Carrier;
+	readonly selector: EndpointSelector;
 	readonly peers: Peers;
 	readonly slot: Slot;
 	readonly quarantine: Quarantine;
@@ -108,7 +108,7 @@
 
 	/** Upstreams of this data centre. */
 	upstreams({service}: api.GetUpstreamsRequest): Reply<api.GetUpstreamsReply> {
-		const {gossip, carrier, clock} = this.opts;
+		const {gossip, selector} = this.opts;
 		const upstreams = gossip.table.all.flatMap(({id, dataCentre, state, offers}) =>
 			offers
 				.filter(offer => service === '' || offer.service === service)
@@ -119,7 +119,7 @@
 					slots: offer.slots,
 					draining: offer.draining,
 					state,
-					ejected: carrier.stats.isEjected(id, clock.monotonic()),
+					ejected: selector.isEjected(id),
 				})),
 		);
 		return ok({upstreams: upstreams.toSorted((a, b) => (a.node < b.node ? -1 : 1))});
--- a/packages/node/src/root/cradle.ts
+++ b/packages/node/src/root/cradle.ts
@@ -11,6 +11,7 @@
 import type {FastifyInstance} from 'fastify';
 import type {AnswerStore} from '../calls/answer-store.js';
 import type {Carrier} from '../calls/carrier.js';
+import type {EndpointSelector} from '../calls/endpoint-selector.js';
 import type {Directory} from '../calls/directory.js';
 import type {Forwarder} from '../calls/forwarder.js';
 import type {Owner} from '../calls/owner.js';
@@ -26,9 +27,11 @@
 import type {RollUp} from '../report/roll-up.js';
 import type {Settings} from '../settings/settings.js';
 import type {InFlight} from '../upstream/in-flight.js';
+import type {Pressure} from '../upstream/pressure.js';
 import type {Slot} from '../upstream/slot.js';
 import type {UpstreamProtocol} from '../upstream/upstream-protocol.js';
 import type {Lifecycle} from './lifecycle.js';
+import type {Strategy} from './strategy.js';
 
 /**
  * Everything that the root composes, by name. Only the files beside this one know it.
@@ -62,6 +65,9 @@
 	readonly answers: AnswerStore;
 	readonly inFlight: InFlight;
 	readonly slot: Slot;
+	readonly strategy: Strategy;
+	readonly pressure: Pressure;
+	readonly selector: EndpointSelector;
 	readonly carrier: Carrier;
 	readonly owner: Owner;
 	readonly router: Router;
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -15,11 +15,13 @@
 import {bindPorts} from './bind-ports.js';
 import {coreOf} from './core-of.js';
 import type {Cradle} from './cradle.js';
+import {jobStrategy} from './job-strategy.js';
 import type {NodeCore} from './node-core.js';
 import {registerCalls} from './register-calls.js';
 import {registerControl} from './register-control.js';
 import {registerFronts} from './register-fronts.js';
 import {registerReport} from './register-report.js';
+import type {Strategy} from './strategy.js';
 import {buildTree} from './tree.js';
 
 type Deps = {
@@ -30,6 +32,8 @@
 	readonly reaches?: (host: string, port: number) => boolean;
 	/** How calls to the upstream are written; the project's own protocol by default. */
 	readonly protocol?: UpstreamProtocol;
+	/** Decisions that differ between uses; those for calls named by job by default. */
+	readonly strategy?: Strategy;
 	/**
 	 * Parts that run as a last branch of the supervisor tree. A node with such parts serves neither
 	 * operators nor its upstream by itself and writes no report.
@@ -64,6 +68,7 @@
 		log,
 		reaches = () => true,
 		protocol = ownProtocol,
+		strategy = jobStrategy,
 		attach,
 	}: Deps): Promise<Node> {
 		const {peerServer, datagrams, peerPort} = await bindPorts(settings);
@@ -86,6 +91,7 @@
 			log: asValue(log),
 			reaches: asValue(reaches),
 			protocol: asValue(protocol),
+			strategy: asValue(strategy),
 			random: asValue(createRandom(settings.randomSeed ?? randomInt(maxSeed))),
 			secret: asValue(randomBytes(16).toString('base64url')),
 			self: asValue(self),
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -1,5 +1,6 @@
 import {type AwilixContainer, asFunction} from 'awilix';
 import {events, Fault, faultKinds} from '@medlarsaddle/core';
+import {RetryRatio} from '@medlarsaddle/control';
 import {memberStates, rumorKinds} from '@medlarsaddle/members';
 import {History} from '@medlarsaddle/report';
 import {type CallOutcome, messageTypes, runStates} from '@medlarsaddle/wire';
@@ -13,8 +14,10 @@
 import {refusalOf} from '../peers/refusals.js';
 import {observe} from '../report/observe.js';
 import {InFlight} from '../upstream/in-flight.js';
+import {Pressure} from '../upstream/pressure.js';
 import {Slot} from '../upstream/slot.js';
 import type {Cradle} from './cradle.js';
+import {floorsOf} from './floors-of.js';
 
 /**
  * Registers what carries calls: the slot, the carrier, the owner of keys and the router.
@@ -28,14 +31,26 @@
 		answers: once(({clock}) => AnswerStore.create(clock)),
 		inFlight: once(({clock, self}) => InFlight.create(clock, self.incarnation.toString(36))),
 		slot: once(createSlot),
-		carrier: once(({clock, random, directory, peers, slot, self, settings}) =>
+		pressure: once(({clock, directory}) =>
+			Pressure.create({clock, hosts: () => directory.hostsByService}),
+		),
+		selector: once(({strategy, clock, random, directory, self}) =>
+			strategy.createSelector({clock, random, directory, dataCentre: self.dataCentre}),
+		),
+		carrier: once(({clock, directory, peers, slot, self, settings, selector, strategy, gossip}) =>
 			Carrier.create({
 				clock,
-				random,
 				directory,
 				peers,
 				slot,
 				selfId: self.id,
+				selector,
+				createRatio: () =>
+					RetryRatio.create({
+						ratio: settings.retryRatio,
+						maxTokens: Math.max(1, settings.retryBurst / gossip.table.alive.length),
+					}),
+				freeFaults: strategy.freeFaults,
 				boundsRetries: settings.admission === 'on',
 			}),
 		),
@@ -56,12 +71,15 @@
 				onEnded: observe(cradle),
 			}),
 		),
-		forwarder: once(({clock, log, config, carrier, metrics}) =>
+		forwarder: once(({clock, random, log, config, carrier, metrics, pressure, settings}) =>
 			Forwarder.create({
 				clock,
+				random,
 				log,
 				config,
 				carrier,
+				pressure,
+				origin: settings.service ?? '',
 				onEnded(route, {result}, elapsedMs) {
 					const outcome = result.kind === 'answer' ? String(result.status) : result.fault;
 					metrics.countRequest(route?.name ?? '', outcome, elapsedMs);
@@ -73,7 +91,7 @@
 };
 
 const createSlot = (cradle: Cradle): Slot => {
-	const {clock, log, settings, self, inFlight, quarantine, config} = cradle;
+	const {clock, log, settings, self, inFlight, quarantine, config, strategy, pressure} = cradle;
 	return Slot.create({
 		clock,
 		log,
@@ -83,8 +101,15 @@
 		inFlight,
 		protocol: cradle.protocol,
 		quarantine,
-		admissionEnabled: settings.admission === 'on',
-		floors: () => config.policy.floors,
+		createAdmission: ({slots, connections}) =>
+			strategy.createAdmission({
+				clock,
+				floors: floorsOf(config),
+				slots,
+				connections,
+				enabled: settings.admission === 'on',
+			}),
+		pressure,
 		onChanged() {
 			cradle.gossip.update({offers: offersOf(cradle)});
 		},
--- a/packages/node/src/root/register-control.ts
+++ b/packages/node/src/root/register-control.ts
@@ -111,7 +111,7 @@
 		onDiffers: fetchFrom,
 		onMembersChanged() {
 			directory.invalidate();
-			cradle.carrier.stats.keepOnly(directory.nodes);
+			cradle.selector.keepOnly(directory.nodes);
 		},
 		onReplaced() {
 			log(events.memberRefuted, {heard: 'another process runs under this node ID'});
--- a/packages/node/src/root/register-fronts.ts
+++ b/packages/node/src/root/register-fronts.ts
@@ -79,7 +79,7 @@
 	health: cradle.health,
 	gossip: cradle.gossip,
 	directory: cradle.directory,
-	carrier: cradle.carrier,
+	selector: cradle.selector,
 	peers: cradle.peers,
 	slot: cradle.slot,
 	quarantine: cradle.quarantine,
--- /dev/null
+++ b/packages/node/src/root/strategy.ts
@@ -0,0 +1,33 @@
+import type {Admission} from '@medlarsaddle/control';
+import type {Clock, Random} from '@medlarsaddle/core';
+import type {Directory} from '../calls/directory.js';
+import type {EndpointSelector} from '../calls/endpoint-selector.js';
+
+type SelectorDeps = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly directory: Directory;
+	readonly dataCentre: string;
+};
+
+type AdmissionDeps = {
+	readonly clock: Clock;
+	readonly floors: readonly number[];
+	/** Slots that the upstream announced. */
+	readonly slots: number;
+	readonly connections: number;
+	readonly enabled: boolean;
+};
+
+/**
+ * The decisions that differ between the ways in which a node is used, as functions.
+ *
+ * @example
+ * const node = await Node.start({settings, clock, log, strategy: routeStrategy});
+ */
+export type Strategy = {
+	readonly createSelector: (deps: SelectorDeps) => EndpointSelector;
+	readonly createAdmission: (deps: AdmissionDeps) => Admission;
+	/** Refusals after which another endpoint may be asked without spending a retry. */
+	readonly freeFaults: ReadonlySet<string>;
+};
--- a/packages/node/src/root/tree.ts
+++ b/packages/node/src/root/tree.ts
@@ -10,6 +10,7 @@
 import {closeWindows} from '../upstream/close-windows.js';
 import {probeUpstream} from '../upstream/probe-upstream.js';
 import type {Cradle} from './cradle.js';
+import {floorsOf} from './floors-of.js';
 import {keepLease} from './keep-lease.js';
 
 const shardReaders = 2;
@@ -106,7 +107,7 @@
 				gossip.reportHeld(name, version);
 			});
 			signal.addEventListener('abort', cancel);
-			slot.setFloors(config.policy.floors);
+			slot.setFloors(floorsOf(config));
 		}, signal);
 		ready();
 		await once(signal, 'abort');
--- a/packages/node/src/settings/settings-schema.ts
+++ b/packages/node/src/settings/settings-schema.ts
@@ -68,6 +68,21 @@
 		.max(300_000)
 		.default(15_000)
 		.describe('Time between roll-ups of the counts for the report, in milliseconds'),
+	service: z
+		.string()
+		.optional()
+		.describe('Service of the upstream on this host, told to upstreams as the origin of requests'),
+	retryRatio: z.coerce
+		.number()
+		.min(0)
+		.max(1)
+		.default(0.1)
+		.describe('Retries that a node sends, as a share of first tries, for each service'),
+	retryBurst: z.coerce
+		.number()
+		.min(0)
+		.default(20)
+		.describe('Retries beyond that share that the nodes of a group send at once, in all'),
 	admission: z
 		.enum(['on', 'off'])
 		.default('on')
--- a/packages/node/src/upstream/slot-faults.ts
+++ b/packages/node/src/upstream/slot-faults.ts
@@ -18,7 +18,7 @@
 		'Report it to the operators; `medlarsaddle status` lists it with its end',
 	),
 	notTaken: Fault.of(
-		faultKinds.overloaded,
+		faultKinds.upstreamRefused,
 		'The upstream rejected the call before it ran it',
 		'Send the call again; it will go to another host',
 	),
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Log, type Fault, events, faultKinds} from '@medlarsaddle/core';
-import {Admission, Cutoffs, type Quarantine} from '@medlarsaddle/control';
+import {type Admission, Cutoffs, type Quarantine} from '@medlarsaddle/control';
 import {type CallOutcome, type CallRequest, type Refusal, runStates} from '@medlarsaddle/wire';
 import type {z} from 'zod';
 import type {announcement} from './announcement.js';
@@ -10,6 +10,7 @@
 import type {InFlightCall} from './in-flight-call.js';
 import {loadOf} from './load-of.js';
 import {Pool} from './pool.js';
+import type {Pressure} from './pressure.js';
 import {SilenceWatch} from './silence-watch.js';
 import {slotFaults} from './slot-faults.js';
 import {Suspects} from './suspects.js';
@@ -27,8 +28,8 @@
 	readonly inFlight: InFlight;
 	readonly protocol: UpstreamProtocol;
 	readonly quarantine: Quarantine;
-	readonly admissionEnabled: boolean;
-	readonly floors: () => readonly number[];
+	readonly createAdmission: (announced: Announcement) => Admission;
+	readonly pressure: Pressure;
 	/** Called when the offer to other nodes has changed. */
 	readonly onChanged: () => void;
 	/** Called with suspects to be spread after a crash. */
@@ -103,15 +104,20 @@
 	announce(next: Announcement): void {
 		const before = this.serving?.announcement;
 		this.lease.renew();
+		if (next.draining && !before?.draining) {
+			this.serving?.admission.refuseWaiting();
+		}
+
 		const isSame =
 			before?.instance === next.instance &&
 			before.service === next.service &&
 			before.port === next.port &&
 			before.host === next.host &&
-			before.connections === next.connections;
+			before.connections === next.connections &&
+			before.slots === next.slots;
 		if (isSame && this.serving) {
 			this.serving = {...this.serving, announcement: next};
-			if (before.draining !== next.draining || before.slots !== next.slots) {
+			if (before.draining !== next.draining) {
 				this.opts.onChanged();
 			}
 
@@ -161,6 +167,7 @@
 
 		const wasOpen = admission.cutoffs.isOpen;
 		admission.closeWindow();
+		this.opts.pressure.closeWindow(admission, this.serving!.announcement.service);
 		if (wasOpen && !admission.cutoffs.isOpen) {
 			this.opts.log(events.overloadStarted, {limit: admission.limitValue});
 		} else if (!wasOpen && admission.cutoffs.isOpen) {
@@ -196,6 +203,8 @@
 		}
 
 		const {admission} = serving;
+		const {pressure} = this.opts;
+		pressure.arrived(request, admission);
 		const startMs = this.opts.clock.monotonic();
 		const deadlineMs = startMs + request.remainingMs;
 		const {job, rank, cohort, depth} = request;
@@ -215,6 +224,7 @@
 		const remainingMs = deadlineMs - startMs - waitedMs;
 		try {
 			this.started++;
+			pressure.started(job);
 			const {inFlight, protocol} = this.opts;
 			const {silence, crashes} = this;
 			const {instance} = serving.announcement;
@@ -228,6 +238,7 @@
 			const {call, result} = await execute(deps, {...request, remainingMs}, signal);
 			return this.outcome(admission, call, result, waitedMs);
 		} finally {
+			pressure.ended(job);
 			if (isSuspect) {
 				this.suspects.end();
 			}
@@ -235,7 +246,7 @@
 	}
 
 	private serve(next: Announcement): Serving {
-		const {clock, log, host, maxBodyBytes, floors, admissionEnabled} = this.opts;
+		const {clock, log, host, maxBodyBytes, createAdmission} = this.opts;
 		return {
 			announcement: next,
 			pool: Pool.create({
@@ -246,13 +257,7 @@
 				clock,
 				log,
 			}),
-			admission: Admission.create({
-				clock,
-				floors: floors(),
-				slotsHint: next.slots,
-				maxLimit: next.connections,
-				enabled: admissionEnabled,
-			}),
+			admission: createAdmission(next),
 		};
 	}
 
@@ -274,6 +279,12 @@
 			cutoffs: (call.cutoffs ? own.strictest(call.cutoffs) : own).values,
 			pressedBy: isPressedBelow ? call.pressedBy : this.bottleneck.place(service),
 			load: loadOf(admission),
+			state: {
+				waitMs: Math.round(admission.waitMs),
+				limit: admission.limitValue,
+				heldMs: Math.round(call.heldMs),
+			},
+			...this.opts.pressure.report(job, service, admission),
 			unspent: call.allowance.remaining,
 			slowest: below && below.ms > here.ms ? below : here,
 			refusedBelow: call.refusedBelow,
@@ -282,6 +293,8 @@
 
 	private refuse(request: CallRequest, fault: Fault): CallOutcome {
 		const admission = this.serving?.admission;
+		const {service, job} = request;
+		const isHere = admission && this.serving?.announcement.service === service;
 		const refusal: Refusal = {
 			kind: 'refusal',
 			fault: fault.kind,
@@ -289,7 +302,7 @@
 			remedy: fault.remedy,
 			run: runStates.notRun,
 			retryAfterMs: fault.kind === faultKinds.overloaded ? 1000 : undefined,
-			by: this.bottleneck.place(request.service),
+			by: this.bottleneck.place(service),
 			limit: admission?.limitValue,
 		};
 		return {
@@ -297,6 +310,12 @@
 			cutoffs: (admission?.cutoffs ?? Cutoffs.open(1)).values,
 			pressedBy: refusal.by,
 			load: admission ? loadOf(admission) : 0,
+			...(isHere
+				? {
+						state: {waitMs: Math.round(admission.waitMs), limit: admission.limitValue},
+						...this.opts.pressure.report(job, service, admission),
+					}
+				: {}),
 			unspent: request.allowance,
 		};
 	}
--- a/packages/wire/src/call-outcome.ts
+++ b/packages/wire/src/call-outcome.ts
@@ -1,5 +1,6 @@
 import type {Answer} from './answer.js';
 import type {Refusal} from './refusal.js';
+import type {UpstreamState} from './upstream-state.js';
 
 /**
  * How a call ended, with what the hops above learn from it.
@@ -21,6 +22,14 @@
 	readonly unspent: number;
 	/** The service along the chain that took the most time, its queue included. */
 	readonly slowest?: {readonly service: string; readonly ms: number};
+	/** How the upstream that ran or refused the call stands, for the choice of endpoints. */
+	readonly state?: UpstreamState;
+	/** Work of one request of this job at each service, in milliseconds of places. */
+	readonly footprint?: ReadonlyArray<readonly [service: string, workMs: number]>;
+	/** Share of the work wanted that services can take, each with its age in milliseconds. */
+	readonly shares?: ReadonlyArray<readonly [service: string, share: number, ageMs: number]>;
+	/** Whether services alone call this job; undefined while that is not known. */
+	readonly isCall?: boolean;
 	/** Why a call further down got no answer, when one was refused. */
 	readonly refusedBelow?: string;
 };
--- a/packages/wire/src/call-request.ts
+++ b/packages/wire/src/call-request.ts
@@ -23,5 +23,7 @@
 	/** Hops from the root. */
 	readonly depth: number;
 	readonly idempotent: boolean;
+	/** Service of the host where the request began. */
+	readonly origin?: string;
 	readonly key?: string;
 };
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -1,7 +1,7 @@
 const headerBytes = 4;
 
-/** Largest payload of one frame, in bytes. */
-const maxFrameBytes = 4 * 1024 * 1024;
+/** Largest payload of one frame, in bytes: a body of the largest size that is routed, and its headers. */
+const maxFrameBytes = 65 * 1024 * 1024;
 
 /**
  * Cuts a byte stream into frames: a length of four bytes, big endian, then the payload. Throws when
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -4,6 +4,7 @@
 export type {Message} from './message.js';
 export type {MessageOf} from './message-of.js';
 export type {Refusal} from './refusal.js';
+export type {UpstreamState} from './upstream-state.js';
 export {callModes} from './call-modes.js';
 export {codec} from './codec.js';
 export {frames} from './frames.js';
