--- a/packages/control/src/slot-limit.ts
+++ b/packages/control/src/slot-limit.ts
@@ -18,11 +18,15 @@
 		return new SlotLimit(Math.max(minLimit, Math.floor(slots * usableShare)));
 	}
 
-	readonly isRamping = false;
 	private readonly times = HoldTimes.create();
 
 	private constructor(readonly value: number) {}
 
+	/** Never: the limit is known from the start. */
+	get isRamping(): boolean {
+		return false;
+	}
+
 	/** Smoothed time of a job, in milliseconds; undefined before the first call ended. */
 	baselineOf(job: string): number | undefined {
 		return this.times.of(job) || undefined;
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -8,6 +8,7 @@
 	nodeDraining: define('MS1002', 'info', 'node is draining'),
 	nodeStopped: define('MS1003', 'info', 'node stopped'),
 	settingsRejected: define('MS1004', 'error', 'settings were rejected'),
+	settingsChanged: define('MS1007', 'info', 'settings file has changed'),
 	keysHandedOver: define('MS1005', 'info', 'idempotency keys were handed over'),
 	keysLost: define('MS1006', 'warn', 'idempotency keys were not handed over'),
 	taskFailed: define('MS1101', 'warn', 'task failed and will be restarted'),
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export {platformFlags} from './platform-flags.js';
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -45,7 +45,7 @@
 		return new Forwarder(opts);
 	}
 
-	private turns = new Map<string, WeightedTurns>();
+	private readonly turns = new Map<string, WeightedTurns>();
 
 	private readonly entry: EntryShares;
 
--- a/packages/node/src/root/cradle.ts
+++ b/packages/node/src/root/cradle.ts
@@ -4,7 +4,7 @@
 import type {KeyLedger, Quarantine} from '@medlarsaddle/control';
 import type {Clock, Log, Random} from '@medlarsaddle/core';
 import type {Gossip, Member} from '@medlarsaddle/members';
-import type {HttpStore} from '@medlarsaddle/records';
+import type {ObjectStore, OpenStore} from '@medlarsaddle/records';
 import type {Tally} from '@medlarsaddle/report';
 import type {Supervisor} from '@medlarsaddle/supervise';
 import type {CallOutcome} from '@medlarsaddle/wire';
@@ -53,7 +53,8 @@
 	readonly lifecycle: Lifecycle;
 	readonly config: Config;
 	readonly health: StoreHealth;
-	readonly store: HttpStore | undefined;
+	readonly openStore: OpenStore | undefined;
+	readonly store: ObjectStore | undefined;
 	readonly gossip: Gossip;
 	readonly directory: Directory;
 	readonly peerSupervisor: Supervisor;
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -6,6 +6,7 @@
 import {type Clock, type Log, createRandom, events} from '@medlarsaddle/core';
 import {type Member, memberStates} from '@medlarsaddle/members';
 import type {Section} from '@medlarsaddle/policy';
+import type {OpenStore} from '@medlarsaddle/records';
 import type {Child} from '@medlarsaddle/supervise';
 import {asValue, createContainer} from 'awilix';
 import {handOverKeys} from '../calls/hand-over-keys.js';
@@ -30,6 +31,8 @@
 	readonly log: Log;
 	/** Whether an address can be reached; tests and the bench cut the network with it. */
 	readonly reaches?: (host: string, port: number) => boolean;
+	/** Opens the store that `settings.storeUrl` names; without it the node runs without one. */
+	readonly openStore?: OpenStore;
 	/** How calls to the upstream are written; the project's own protocol by default. */
 	readonly protocol?: UpstreamProtocol;
 	/** Decisions that differ between uses; those for calls named by job by default. */
@@ -67,6 +70,7 @@
 		clock,
 		log,
 		reaches = () => true,
+		openStore,
 		protocol = ownProtocol,
 		strategy = jobStrategy,
 		attach,
@@ -90,6 +94,7 @@
 			clock: asValue(clock),
 			log: asValue(log),
 			reaches: asValue(reaches),
+			openStore: asValue(openStore),
 			protocol: asValue(protocol),
 			strategy: asValue(strategy),
 			random: asValue(createRandom(settings.randomSeed ?? randomInt(maxSeed))),
--- a/packages/node/src/root/register-control.ts
+++ b/packages/node/src/root/register-control.ts
@@ -2,7 +2,6 @@
 import {events} from '@medlarsaddle/core';
 import {KeyLedger, Quarantine} from '@medlarsaddle/control';
 import {Gossip, gossipTiming, rumorKinds} from '@medlarsaddle/members';
-import {HttpStore} from '@medlarsaddle/records';
 import {Supervisor} from '@medlarsaddle/supervise';
 import {codec} from '@medlarsaddle/wire';
 import {Directory} from '../calls/directory.js';
@@ -26,12 +25,12 @@
 		lifecycle: once(({clock}) => Lifecycle.create({clock, leaseMs: gossipTiming.leaseMs})),
 		config: once(({log}) => Config.create({log})),
 		health: once(() => StoreHealth.create()),
-		store: once(({settings, metrics, reaches}) =>
+		store: once(({settings, metrics, reaches, openStore}) =>
 			settings.storeUrl === undefined
 				? undefined
-				: HttpStore.create({
-						reaches,
+				: openStore?.({
 						url: settings.storeUrl,
+						reaches,
 						onCall(kind) {
 							metrics.storeCalls.inc({kind});
 						},
--- a/packages/node/test/collector.test.ts
+++ b/packages/node/test/collector.test.ts
@@ -48,6 +48,7 @@
 		async watch() {
 			return ok(undefined);
 		},
+		async close() {},
 	};
 	return {store, faults, objects};
 };
--- a/packages/records/src/index.ts
+++ b/packages/records/src/index.ts
@@ -1,8 +1,8 @@
 export type {Change} from './change.js';
 export type {ChangeRecord} from './change-record.js';
 export type {ObjectStore} from './object-store.js';
+export type {OpenStore} from './open-store.js';
 export type {StoredObject} from './stored-object.js';
 export type {StoredSection} from './stored-section.js';
-export {HttpStore} from './http-store.js';
 export {Shard} from './shard.js';
 export {writeChange} from './write-change.js';
--- a/packages/records/src/object-store.ts
+++ b/packages/records/src/object-store.ts
@@ -27,4 +27,6 @@
 		afterVersion: number,
 		signal: AbortSignal,
 	): Promise<Result<StoredObject | undefined, Fault>>;
+	/** Closes every connection. */
+	close(): Promise<void>;
 };
--- a/packages/records/test/write-change.test.ts
+++ b/packages/records/test/write-change.test.ts
@@ -43,6 +43,7 @@
 		async watch() {
 			return down;
 		},
+		async close() {},
 	};
 	return {
 		store,
--- a/packages/testbed/src/bin/nodes.ts
+++ b/packages/testbed/src/bin/nodes.ts
@@ -2,6 +2,7 @@
 import fastify from 'fastify';
 import {createLog, createSystemClock} from '@medlarsaddle/core';
 import {Node, readSettings} from '@medlarsaddle/node';
+import {openStore} from '@medlarsaddle/platform';
 import {z} from 'zod';
 
 const startBody = z.object({settings: z.record(z.string(), z.string())});
@@ -21,6 +22,7 @@
 	const node = await Node.start({
 		settings,
 		clock,
+		openStore,
 		log(event, fields) {
 			events.set(event.code, (events.get(event.code) ?? 0) + 1);
 			log(event, fields);
--- a/packages/testbed/src/deploy/programs.ts
+++ b/packages/testbed/src/deploy/programs.ts
@@ -7,7 +7,7 @@
 
 /** Scripts of the programs that a fleet consists of. */
 export const programs = {
-	daemon: resolve('@medlarsaddle/node').replace(/index\.js$/v, 'bin/medlarsaddled.js'),
+	daemon: resolve('@medlarsaddle/daemon').replace(/index\.js$/v, 'bin/medlarsaddled.js'),
 	client: resolve('@medlarsaddle/client').replace(/index\.js$/v, 'bin/medlarsaddle.js'),
 	platform: standIn('platform'),
 	upstream: standIn('upstream'),
--- a/packages/testbed/src/harness/test-cluster.ts
+++ b/packages/testbed/src/harness/test-cluster.ts
@@ -1,5 +1,6 @@
 import {type Log, createLog, createSystemClock} from '@medlarsaddle/core';
 import {Node, readSettings} from '@medlarsaddle/node';
+import {openStore} from '@medlarsaddle/platform';
 import {Platform} from '../platform/platform.js';
 import {Upstream} from '../upstream/upstream.js';
 
@@ -109,7 +110,7 @@
 			},
 			base: {node: id},
 		});
-		return Node.start({settings: settings._unsafeUnwrap(), clock, log});
+		return Node.start({settings: settings._unsafeUnwrap(), clock, log, openStore});
 	}
 
 	/** Waits until every node lists every upstream of its own data centre. */
--- a/packages/testbed/src/platform/platform-faults.ts
+++ b/packages/testbed/src/platform/platform-faults.ts
@@ -9,6 +9,12 @@
 export const platformFaults = z.strictObject({
 	/** Refuses every call. */
 	isDown: z.boolean().default(false),
+	/** Takes calls and never answers them. */
+	isSilent: z.boolean().default(false),
+	/** Resets the connection of each call. */
+	resets: z.boolean().default(false),
+	/** Refuses this many calls as beyond the rate. */
+	refusals: z.number().int().min(0).default(0),
 	/** Waits this long before it answers, in milliseconds. */
 	delayMs: z.number().min(0).default(0),
 	/** Applies this many writes and then drops their answers. */
--- a/packages/testbed/src/platform/platform.ts
+++ b/packages/testbed/src/platform/platform.ts
@@ -1,23 +1,33 @@
-import {EventEmitter, once} from 'node:events';
 import type {AddressInfo} from 'node:net';
-import fastify, {type FastifyReply} from 'fastify';
+import fastify, {type FastifyReply, type FastifyRequest} from 'fastify';
 import {z} from 'zod';
+import {Objects} from './objects.js';
 import {platformFaults} from './platform-faults.js';
 
 type Faults = z.infer<typeof platformFaults>;
+type Stored = NonNullable<ReturnType<Objects['get']>>;
+type Target = {kind: string; name: string};
+type Query = {after?: string; watch?: string; waitMs?: string; revision?: string};
 
-type Stored = {
-	readonly version: number;
-	readonly value: unknown;
-};
-
-const putBody = z.object({value: z.unknown(), ifVersion: z.number().int()});
+const written = z.object({
+	metadata: z
+		.object({
+			name: z.string().optional(),
+			revision: z.number().int().optional(),
+			finalizers: z.array(z.string()).optional(),
+		})
+		.default({}),
+	spec: z.unknown().optional(),
+	status: z.unknown().optional(),
+});
 const maxBodyBytes = 2 * 1024 * 1024;
-const absent: Stored = {version: 0, value: undefined};
+const pageSize = 500;
+const maxWaitMs = 30_000;
 
 /**
- * Stand-in for the platform's object API: versions, conditional updates and watches, in memory,
- * with faults on demand and a count of every call. A waiting watch counts as one call.
+ * Stand-in for the platform's object store: kinds and names, one revision counter, conditional
+ * writes, finalizers, paged lists and watches, in memory, with faults on demand and a count of every
+ * call. A waiting watch counts as one call.
  *
  * @example
  * const platform = await Platform.start();
@@ -33,18 +43,23 @@
 
 	/** Calls since the start, by kind. */
 	readonly counts = {get: 0, put: 0, watch: 0};
+	readonly objects = Objects.create();
 	private readonly app = fastify({bodyLimit: maxBodyBytes, forceCloseConnections: true});
-	private readonly objects = new Map<string, Stored>();
 	private readonly before = new Map<string, Stored>();
-	private readonly written = new EventEmitter().setMaxListeners(0);
 	private faults: Faults = platformFaults.parse({});
 
 	private constructor() {
-		this.addObjectRoutes();
-		this.addControlRoutes();
+		this.app.addHook('preHandler', async (req, reply) => {
+			if (!req.url.startsWith('/control/')) {
+				await this.failEarly(reply);
+			}
+		});
+		this.addReads();
+		this.addWrites();
+		this.addControl();
 	}
 
-	/** Base URL of the object API. */
+	/** Base URL of the store. */
 	get url(): string {
 		return `http://127.0.0.1:${(this.app.server.address() as AddressInfo).port}`;
 	}
@@ -52,70 +67,87 @@
 	/** Replaces the faults; those not named are off. */
 	setFaults(faults: Partial<Faults>): void {
 		this.faults = platformFaults.parse(faults);
-		this.written.emit('any');
+		this.objects.wake();
 	}
 
-	/** What the store holds under a name. */
-	read(name: string): Stored {
-		return this.objects.get(name) ?? absent;
+	/** Writes an object as the operator does, whatever its revision is. */
+	write(kind: string, name: string, spec: unknown): Stored {
+		const known = this.objects.get(kind, name);
+		return known ? this.objects.edit(kind, known, {spec}) : this.objects.add(kind, name, {spec})!;
 	}
 
 	/** Stops the stand-in. */
 	async stop(): Promise<void> {
-		this.written.emit('any');
+		this.faults = {...this.faults, isDown: true};
+		this.objects.wake();
 		await this.app.close();
 	}
 
-	private addObjectRoutes(): void {
-		this.app.get<{Params: {name: string}; Querystring: {after?: string; waitMs?: string}}>(
-			'/objects/:name',
+	private addReads(): void {
+		this.app.get<{Params: {kind: string}; Querystring: Query}>(
+			'/-/objects/:kind',
 			async ({params, query}, reply) => {
-				this.counts[query.after === undefined ? 'get' : 'watch']++;
-				if (await this.failsEarly(reply)) {
-					return reply;
-				}
-
-				if (query.after !== undefined) {
-					await this.waitForNewer(params.name, Number(query.after), Number(query.waitMs));
-					if (this.faults.isDown) {
-						return reply.code(503).send();
-					}
-
-					const current = this.read(params.name);
-					return current.version > Number(query.after) ? current : reply.code(204).send();
+				if (query.watch !== undefined) {
+					this.counts.watch++;
+					return this.answerWatch(params.kind, query, reply);
 				}
 
-				const current = this.readMaybeStale(params.name);
-				return current.version === 0 ? reply.code(404).send() : current;
+				this.counts.get++;
+				const {after = ''} = query;
+				const items = this.objects.list(params.kind).filter(({metadata}) => metadata.name > after);
+				return {
+					items: items.slice(0, pageSize),
+					more: items.length > pageSize,
+					storeRevision: this.objects.storeRevision,
+				};
 			},
 		);
-		this.app.put<{Params: {name: string}}>('/objects/:name', async ({params, body}, reply) => {
-			this.counts.put++;
-			if (await this.failsEarly(reply)) {
-				return reply;
-			}
-
-			const {value, ifVersion} = putBody.parse(body);
-			const current = this.read(params.name);
-			if (current.version !== ifVersion) {
-				return reply.code(409).send({version: current.version});
-			}
-
-			const next = {version: current.version + 1, value};
-			this.before.set(params.name, current);
-			this.objects.set(params.name, next);
-			this.written.emit('any');
-			if (this.faults.loseAnswers > 0) {
-				this.faults = {...this.faults, loseAnswers: this.faults.loseAnswers - 1};
-				reply.raw.destroy();
-				return reply.hijack();
-			}
+		this.app.get<{Params: Target}>('/-/objects/:kind/:name', async ({params}, reply) => {
+			this.counts.get++;
+			const object = this.readMaybeStale(params);
+			return object ?? reply.code(404).send({});
+		});
+	}
 
-			return {version: next.version};
+	private addWrites(): void {
+		const path = '/-/objects/:kind/:name';
+		this.app.post<{Params: {kind: string}}>('/-/objects/:kind', async (req, reply) => {
+			const {metadata, spec} = written.parse(req.body);
+			const name = metadata.name ?? '';
+			const {finalizers} = metadata;
+			const added = this.objects.add(req.params.kind, name, {spec, finalizers});
+			return added
+				? this.acknowledge(reply, added)
+				: reply.code(409).send(this.objects.get(req.params.kind, name));
+		});
+		this.app.put<{Params: Target}>(path, async (req, reply) => {
+			const {metadata, spec} = written.parse(req.body);
+			const {finalizers} = metadata;
+			return this.change(req, reply, metadata.revision, object =>
+				this.objects.edit(req.params.kind, object, {
+					spec,
+					...(finalizers === undefined ? {} : {finalizers}),
+				}),
+			);
+		});
+		this.app.put<{Params: Target}>(`${path}/status`, async (req, reply) => {
+			const {metadata, status} = written.parse(req.body);
+			return this.change(req, reply, metadata.revision, object =>
+				this.objects.edit(req.params.kind, object, {status}),
+			);
+		});
+		this.app.delete<{Params: Target; Querystring: Query}>(path, async (req, reply) => {
+			const {revision} = req.query;
+			return this.change(
+				req,
+				reply,
+				revision === undefined ? undefined : Number(revision),
+				object => this.objects.remove(req.params.kind, object),
+			);
 		});
 	}
 
-	private addControlRoutes(): void {
+	private addControl(): void {
 		this.app.get('/control/counts', async () => this.counts);
 		this.app.post('/control/faults', async ({body}) => {
 			this.setFaults(platformFaults.parse(body));
@@ -123,34 +155,109 @@
 		});
 	}
 
-	private async failsEarly(reply: FastifyReply): Promise<boolean> {
-		if (this.faults.delayMs > 0) {
+	/** Changes an object if it has the revision that the call names. */
+	private async change(
+		{params}: FastifyRequest<{Params: Target}>,
+		reply: FastifyReply,
+		revision: number | undefined,
+		apply: (object: Stored) => Stored,
+	): Promise<unknown> {
+		const object = this.objects.get(params.kind, params.name);
+		if (!object) {
+			return reply.code(404).send({});
+		}
+
+		if (revision !== undefined && revision !== object.metadata.revision) {
+			return reply.code(409).send(object);
+		}
+
+		this.before.set(`${params.kind}/${params.name}`, object);
+		return this.acknowledge(reply, apply(object));
+	}
+
+	private async acknowledge(reply: FastifyReply, object: Stored): Promise<unknown> {
+		this.counts.put++;
+		if (this.faults.loseAnswers > 0) {
+			this.faults = {...this.faults, loseAnswers: this.faults.loseAnswers - 1};
+			reply.raw.destroy();
+			return reply.hijack();
+		}
+
+		return object;
+	}
+
+	private async failEarly(reply: FastifyReply): Promise<void> {
+		const {delayMs, isSilent, resets, refusals} = this.faults;
+		if (delayMs > 0) {
 			await new Promise(resolve => {
-				setTimeout(resolve, this.faults.delayMs);
+				setTimeout(resolve, delayMs);
 			});
 		}
 
-		if (this.faults.isDown) {
+		if (isSilent) {
+			void reply.hijack();
+		} else if (resets) {
+			reply.raw.socket?.resetAndDestroy();
+			void reply.hijack();
+		} else if (refusals > 0) {
+			this.faults = {...this.faults, refusals: refusals - 1};
+			await reply.code(429).send({error: 'The rate is exceeded'});
+		} else if (this.faults.isDown) {
 			await reply.code(503).send({error: 'The store is down'});
-			return true;
 		}
-
-		return false;
 	}
 
-	private readMaybeStale(name: string): Stored {
+	private readMaybeStale({kind, name}: Target): Stored | undefined {
 		if (this.faults.staleReads > 0) {
 			this.faults = {...this.faults, staleReads: this.faults.staleReads - 1};
-			return this.before.get(name) ?? absent;
+			return this.before.get(`${kind}/${name}`);
 		}
 
-		return this.read(name);
+		return this.objects.get(kind, name);
 	}
 
-	private async waitForNewer(name: string, after: number, waitMs: number): Promise<void> {
-		const timeout = AbortSignal.timeout(waitMs);
-		while (this.read(name).version <= after && !timeout.aborted && !this.faults.isDown) {
-			await once(this.written, 'any', {signal: timeout}).catch(() => {});
+	private async answerWatch(
+		kind: string,
+		{watch, waitMs}: Query,
+		reply: FastifyReply,
+	): Promise<unknown> {
+		const revision = Number(watch);
+		await this.untilChanged(kind, revision, Math.min(maxWaitMs, Number(waitMs ?? 0)));
+		if (this.faults.isDown) {
+			return reply.code(503).send({});
 		}
+
+		const changes = this.objects.changesAfter(kind, revision);
+		return changes
+			? {
+					events: changes.map(({deleted, object}) => ({deleted, object})),
+					storeRevision: this.objects.storeRevision,
+				}
+			: reply.code(410).send({});
+	}
+
+	private async untilChanged(kind: string, revision: number, waitMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const isOver = () => {
+				const changes = this.objects.changesAfter(kind, revision);
+				return this.faults.isDown || changes === undefined || changes.length > 0;
+			};
+
+			const finish = () => {
+				clearTimeout(timer);
+				stopListening();
+				resolve();
+			};
+
+			const timer = setTimeout(finish, waitMs);
+			const stopListening = this.objects.onChange(() => {
+				if (isOver()) {
+					finish();
+				}
+			});
+			if (isOver()) {
+				finish();
+			}
+		});
 	}
 }
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -6,7 +6,7 @@
 	'const require = createRequireOf(import.meta.url);';
 
 await build({
-	entryPoints: ['platform/src/bin/medlarsaddled.ts'],
+	entryPoints: ['packages/daemon/src/bin/medlarsaddled.ts'],
 	outfile: 'target/medlarsaddled.mjs',
 	bundle: true,
 	platform: 'node',
