--- a/packages/control/src/endpoint-view.ts
+++ b/packages/control/src/endpoint-view.ts
@@ -8,6 +8,8 @@
 	/** Time that a new call would wait, as last reported, in milliseconds. */
 	waitMs: number;
 	heardMs: number;
+	/** When it was last heard, or a call was sent while none waited for it. */
+	quietSinceMs: number;
 	/** Calls of this node that were in flight when it was heard. */
 	inFlightThen: number;
 	limit: number;
@@ -33,6 +35,13 @@
 
 /** Load from which on a call is likely to wait. */
 const busyLoad = 0.85;
+
+/**
+ * An endpoint is left out once calls have waited for this long, and for this many times their usual
+ * time, while nothing at all was heard of it: its host or the way to it may be gone.
+ */
+const quietMs = 300;
+const quietFactor = 2;
 const failuresToEject = 4;
 const firstEjectionMs = 500;
 const maxEjectionMs = 8000;
@@ -59,7 +68,12 @@
 
 	/** Notes that a call was sent. */
 	began(node: string): void {
-		this.of(node).inFlight++;
+		const view = this.of(node);
+		if (view.inFlight === 0) {
+			view.quietSinceMs = this.clock.monotonic();
+		}
+
+		view.inFlight++;
 	}
 
 	/** Notes that a call ended. */
@@ -75,6 +89,7 @@
 		view.waitMs = waitMs;
 		view.limit = Math.max(1, limit);
 		view.heardMs = this.clock.monotonic();
+		view.quietSinceMs = view.heardMs;
 		view.inFlightThen = view.inFlight;
 		if (heldMs !== undefined && (view.heldMs.has(job) || view.heldMs.size < maxJobs)) {
 			const known = view.heldMs.get(job) ?? heldMs;
@@ -107,7 +122,9 @@
 
 	/** Whether the endpoint is left out now. */
 	isAvoided(node: string): boolean {
-		return (this.nodes.get(node)?.avoidUntilMs ?? 0) > this.clock.monotonic();
+		const view = this.nodes.get(node);
+		const nowMs = this.clock.monotonic();
+		return view !== undefined && (view.avoidUntilMs > nowMs || this.isQuiet(view, nowMs));
 	}
 
 	/** Time that a call of a job would take there, in milliseconds, as far as it is known. */
@@ -134,6 +151,11 @@
 		}
 	}
 
+	private isQuiet({inFlight, quietSinceMs, heldMs}: View, nowMs: number): boolean {
+		const usualMs = Math.max(0, ...heldMs.values());
+		return inFlight > 0 && nowMs - quietSinceMs > quietMs + usualMs * quietFactor;
+	}
+
 	private of(node: string): View {
 		const known = this.nodes.get(node);
 		if (known) {
@@ -145,6 +167,7 @@
 			load: 0,
 			waitMs: 0,
 			heardMs: Number.NEGATIVE_INFINITY,
+			quietSinceMs: 0,
 			inFlightThen: 0,
 			limit: 1,
 			failures: 0,
--- a/packages/control/test/whole-requests.test.ts
+++ b/packages/control/test/whole-requests.test.ts
@@ -199,6 +199,23 @@
 	assert.equal(choose(), 'a');
 });
 
+test('an endpoint that falls silent while calls wait for it is left out until it is heard again', async () => {
+	const clock = ManualClock.at(0);
+	const view = EndpointView.create(clock);
+	const report = {load: 0.1, waitMs: 0, limit: 10, job: 'look', heldMs: 100};
+	view.began('a');
+	view.heard('a', report);
+	await clock.advance(400);
+	assert.equal(view.isAvoided('a'), false);
+	await clock.advance(200);
+	assert.equal(view.isAvoided('a'), true);
+	view.heard('a', report);
+	assert.equal(view.isAvoided('a'), false);
+	view.ended('a');
+	await clock.advance(5000);
+	assert.equal(view.isAvoided('a'), false);
+});
+
 test('a limit of known slots leaves a little of them free', () => {
 	assert.equal(SlotLimit.create(24).value, 22);
 	assert.equal(SlotLimit.create(1).value, 1);
--- a/packages/node/src/root/job-strategy.ts
+++ b/packages/node/src/root/job-strategy.ts
@@ -13,4 +13,7 @@
 		Admission.create({clock, floors, slotsHint: slots, maxLimit: connections, enabled}),
 	// They come from an outdated list of endpoints.
 	freeFaults: new Set([faultKinds.draining, faultKinds.noEndpoint]),
+	// Two processes under one ID would both issue keys.
+	keepsId: false,
+	fetchAfterMs: 0,
 };
--- a/packages/node/src/root/register-control.ts
+++ b/packages/node/src/root/register-control.ts
@@ -65,7 +65,8 @@
 };
 
 const createGossip = (cradle: Cradle): Gossip => {
-	const {clock, random, log, self, settings, datagrams, config, metrics, directory} = cradle;
+	const {clock, random, log, self, settings, datagrams, config, metrics, directory, strategy} =
+		cradle;
 	const fetchFrom = (member: Parameters<typeof syncWith>[1]) => {
 		void syncWith(cradle, member).catch(() => {});
 	};
@@ -101,8 +102,13 @@
 			}
 
 			// A section is passed on once its content is here, so that whoever hears of it can fetch it.
-			if (from && rumor.version > config.policy.versionOf(rumor.name)) {
-				fetchFrom(from);
+			const isNewer = () => rumor.version > config.policy.versionOf(rumor.name);
+			if (from && isNewer()) {
+				clock.after(strategy.fetchAfterMs, () => {
+					if (isNewer()) {
+						fetchFrom(from);
+					}
+				});
 			}
 
 			return false;
@@ -114,8 +120,11 @@
 		},
 		onReplaced() {
 			log(events.memberRefuted, {heard: 'another process runs under this node ID'});
-			cradle.lifecycle.leave();
-			return false;
+			if (!strategy.keepsId) {
+				cradle.lifecycle.leave();
+			}
+
+			return strategy.keepsId;
 		},
 	});
 };
--- a/packages/node/src/root/route-strategy.ts
+++ b/packages/node/src/root/route-strategy.ts
@@ -26,4 +26,9 @@
 		faultKinds.overloaded,
 		faultKinds.unreachable,
 	]),
+	// The platform runs one process a host; a later record is that of an earlier process whose clock
+	// was ahead.
+	keepsId: true,
+	// Most nodes read the store themselves, which costs less than bytes between data centres.
+	fetchAfterMs: 300,
 };
--- a/packages/node/src/root/strategy.ts
+++ b/packages/node/src/root/strategy.ts
@@ -30,4 +30,8 @@
 	readonly createAdmission: (deps: AdmissionDeps) => Admission;
 	/** Refusals after which another endpoint may be asked without spending a retry. */
 	readonly freeFaults: ReadonlySet<string>;
+	/** Whether a process that hears of a later one under its ID keeps the ID rather than leaves. */
+	readonly keepsId: boolean;
+	/** How long news of a section waits for this node's own reader, in milliseconds. */
+	readonly fetchAfterMs: number;
 };
