--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -16,6 +16,8 @@
 	readonly config: Config;
 	readonly carrier: Carrier;
 	readonly pressure: Pressure;
+	/** Why no new work is taken; undefined when it is. */
+	readonly closedBy: () => Fault | undefined;
 	/** Service of the upstream on this host. */
 	readonly origin: string;
 	/** Called once for each request that ended. */
@@ -77,7 +79,7 @@
 			fault: result.kind === 'refusal' ? result.fault : undefined,
 			run: result.kind === 'refusal' ? result.run : undefined,
 			by: result.kind === 'refusal' ? result.by : undefined,
-			budgetMs: arrival.remainingMs,
+			budgetMs: arrival.remainingMs === undefined ? undefined : Math.round(arrival.remainingMs),
 			tookMs: Math.round(elapsedMs),
 		});
 		return outcome;
@@ -100,8 +102,14 @@
 		const {pressure, origin} = this.opts;
 		const isCall = pressure.isCall(job);
 		if (isCall) {
+			// Calls of requests that are in flight go on while the node leaves.
 			pressure.made(job);
 		} else {
+			const closed = this.opts.closedBy();
+			if (closed) {
+				return refusalOf(closed, runStates.notRun, 0, {retryAfterMs: minReturnMs});
+			}
+
 			const footprint = pressure.footprints.of(job);
 			const isReturning = this.budgets.isReturning(job, arrival.remainingMs);
 			const {rank} = route;
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -166,8 +166,8 @@
 	}
 
 	/**
-	 * Leaves in order: says that it is not ready, tells the others, takes no new work, waits for what is in flight up to the
-	 * time that the settings allow, hands its keys over, then ends.
+	 * Leaves in order: says that it is not ready, tells the others, takes no new work, waits for what
+	 * is in flight up to the time that the settings allow, hands its keys over, then ends.
 	 */
 	async stop(): Promise<void> {
 		const {lifecycle, slot, gossip, clock, log, settings} = this.cradle;
@@ -189,15 +189,24 @@
 			await clock.sleep(leavePollMs);
 		}
 
-		const isHandedOver = await handOverKeys(this.cradle);
-		log(isHandedOver ? events.keysHandedOver : events.keysLost, {keys: this.cradle.ledger.size});
-		await this.cradle.rollUp.finish(AbortSignal.timeout(lastRollUpMs));
+		if (!this.attach) {
+			await this.handOver();
+		}
+
 		gossip.update({state: memberStates.left, offers: []});
 		this.abort.abort(new Error('The node stops'));
 		await this.ended;
 		log(events.nodeStopped);
 	}
 
+	/** Hands on what only this process knows: keys that it issued, and counts for the report. */
+	private async handOver(): Promise<void> {
+		const {log, ledger, rollUp} = this.cradle;
+		const isHandedOver = await handOverKeys(this.cradle);
+		log(isHandedOver ? events.keysHandedOver : events.keysLost, {keys: ledger.size});
+		await rollUp.finish(AbortSignal.timeout(lastRollUpMs));
+	}
+
 	/** Ends at once, without waiting for anything. */
 	async kill(): Promise<void> {
 		this.abort.abort(new Error('The node is ended'));
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -71,25 +71,29 @@
 				onEnded: observe(cradle),
 			}),
 		),
-		forwarder: once(({clock, random, log, config, carrier, metrics, pressure, settings}) =>
-			Forwarder.create({
-				clock,
-				random,
-				log,
-				config,
-				carrier,
-				pressure,
-				origin: settings.service ?? '',
-				onEnded(route, {result}, elapsedMs) {
-					const outcome = result.kind === 'answer' ? String(result.status) : result.fault;
-					metrics.countRequest(route?.name ?? '', outcome, elapsedMs);
-				},
-			}),
-		),
+		forwarder: once(createForwarder),
 		handlers: once(createHandlers),
 	});
 };
 
+const createForwarder = (cradle: Cradle): Forwarder => {
+	const {clock, random, log, config, carrier, metrics, pressure, settings, lifecycle} = cradle;
+	return Forwarder.create({
+		clock,
+		random,
+		log,
+		config,
+		carrier,
+		pressure,
+		closedBy: () => lifecycle.closedBy(),
+		origin: settings.service ?? '',
+		onEnded(route, {result}, elapsedMs) {
+			const outcome = result.kind === 'answer' ? String(result.status) : result.fault;
+			metrics.countRequest(route?.name ?? '', outcome, elapsedMs);
+		},
+	});
+};
+
 const createSlot = (cradle: Cradle): Slot => {
 	const {clock, log, settings, self, inFlight, quarantine, config, strategy, pressure} = cradle;
 	return Slot.create({
