--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -199,6 +199,12 @@
 		log(events.nodeStopped);
 	}
 
+	/** Ends at once, without waiting for anything. */
+	async kill(): Promise<void> {
+		this.abort.abort(new Error('The node is ended'));
+		await this.ended.catch(() => {});
+	}
+
 	/** Hands on what only this process knows: keys that it issued, and counts for the report. */
 	private async handOver(): Promise<void> {
 		const {log, ledger, rollUp} = this.cradle;
@@ -207,12 +213,6 @@
 		await rollUp.finish(AbortSignal.timeout(lastRollUpMs));
 	}
 
-	/** Ends at once, without waiting for anything. */
-	async kill(): Promise<void> {
-		this.abort.abort(new Error('The node is ended'));
-		await this.ended.catch(() => {});
-	}
-
 	private async begin(): Promise<void> {
 		const tree = buildTree(this.cradle, this.attach?.(coreOf(this.cradle)));
 		await new Promise<void>((resolve, reject) => {
