Refuse a relayed call while an upstream of the soak is replaced

Change: the stand-in says that it has no port, and the relay resets the call, as a host does on which nothing listens.

--- a/packages/testbed/src/soak/soak-host.ts
+++ b/packages/testbed/src/soak/soak-host.ts
@@ -40,7 +40,7 @@
 			port === undefined ? undefined : {host, port};
 		const relays = {
 			callers: await Relay.start({target: () => at(loopback, host.daemon?.portOf('callers'))}),
-			upstream: await Relay.start({target: () => at(loopback, host.upstreamPort)}),
+			upstream: await Relay.start({target: () => at(loopback, host.upstream.port)}),
 			peers: await Relay.start({host: ip, port: peerPort, target: () => at(streamIp, peerPort)}),
 			store: await Relay.start({target: () => at(loopback, storePort)}),
 		};
@@ -85,10 +85,6 @@
 		return `i-${this.name}-${this.instances}`;
 	}
 
-	private get upstreamPort(): number {
-		return Number(this.upstream.address.split(':')[1]);
-	}
-
 	/** Opens a connection for one caller. */
 	connect(): Client {
 		return new Client(`http://127.0.0.1:${this.relays.callers.port}`, {pipelining: 1});
--- a/packages/testbed/src/upstream/routed-upstream.ts
+++ b/packages/testbed/src/upstream/routed-upstream.ts
@@ -54,7 +54,12 @@
 
 	/** Address at which it listens. */
 	get address(): string {
-		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+		return `127.0.0.1:${this.port}`;
+	}
+
+	/** Port on which it listens; undefined once it was stopped. */
+	get port(): number | undefined {
+		return (this.server.address() as AddressInfo | null)?.port;
 	}
 
 	/** Runs a call and answers it. */
