Split the cutoffs and the time to wait from the admission

Change: latestStart is a function with tests, CutoffWindows holds the interval and the control of the cutoffs. No behaviour changes.

--- a/packages/control/src/admission.ts
+++ b/packages/control/src/admission.ts
@@ -2,10 +2,10 @@
 import {type Result, err, ok} from 'neverthrow';
 import {admissionFaults} from './admission-faults.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
-import {CutoffControl} from './cutoff-control.js';
+import {CutoffWindows} from './cutoff-windows.js';
 import type {Cutoffs} from './cutoffs.js';
 import {HoldTimes} from './hold-times.js';
-import {Interval} from './interval.js';
+import {latestStart} from './latest-start.js';
 import type {Limit} from './limit.js';
 import {RankQueue} from './rank-queue.js';
 
@@ -32,28 +32,9 @@
 	readonly signal: AbortSignal;
 };
 
-/** Wait beyond which a queue counts as standing, in times that a call holds its place. */
-const standingCalls = 0.5;
-const minStandingMs = 20;
-const minQueueWaitMs = 200;
-
-/** Least wait allowed while the limit of a new upstream is still being found. */
-const rampQueueWaitMs = 1000;
-
-/** How long a call may wait, in times that a call holds its place. */
-const queueWaitCalls = 4;
-
-/** Share of the time to its deadline that a call may wait at least, however long calls take. */
-const minWaitShare = 0.5;
 const maxQueueShare = 2;
 const minQueueSize = 16;
 
-/** Length of a window, in milliseconds. */
-const windowMs = 100;
-
-/** Most windows that the cutoffs stay as they are. */
-const maxHeldWindows = 10;
-
 /** How far beyond the cutoff a call is admitted that others have already worked for, in cohorts. */
 const startedSlack = 32;
 
@@ -74,9 +55,8 @@
 	}
 
 	private readonly limit: Limit;
-	private readonly control: CutoffControl;
+	private readonly windows: CutoffWindows;
 	private readonly queue: RankQueue;
-	private interval = Interval.create();
 	private readonly holds = HoldTimes.create();
 	private running = 0;
 	private peak = 0;
@@ -84,13 +64,16 @@
 
 	private constructor(private readonly opts: Opts) {
 		this.limit = opts.limit ?? ConcurrencyLimit.create(opts);
-		this.control = CutoffControl.create(opts.floors);
+		this.windows = CutoffWindows.create({
+			floors: opts.floors,
+			isOn: opts.hasCutoffs !== false,
+		});
 		this.queue = RankQueue.create(opts.floors);
 	}
 
 	/** The cutoffs to send back on answers. */
 	get cutoffs(): Cutoffs {
-		return this.control.cutoffs;
+		return this.windows.cutoffs;
 	}
 
 	/** Calls that run now. */
@@ -143,7 +126,7 @@
 
 	/** Takes up the floors of a new policy. */
 	setFloors(floors: readonly number[]): void {
-		this.control.setFloors(floors);
+		this.windows.setFloors(floors);
 		this.queue.setFloors(floors);
 	}
 
@@ -160,11 +143,11 @@
 		}
 
 		const cohort = call.depth > 0 ? call.cohort - startedSlack : call.cohort;
-		if (!this.control.cutoffs.admits(call.rank, cohort)) {
+		if (!this.windows.cutoffs.admits(call.rank, cohort)) {
 			return this.refuse(admissionFaults.overloaded);
 		}
 
-		this.interval.arrived(call.rank);
+		this.windows.events.arrived(call.rank);
 		if (this.running < this.limit.value && this.queue.size === 0) {
 			this.begin(call.rank, nowMs);
 			return ok(true);
@@ -180,7 +163,7 @@
 	leave(job: string, time?: {readonly ownMs: number; readonly heldMs: number}): void {
 		this.running--;
 		if (time) {
-			this.interval.completions++;
+			this.windows.events.completions++;
 			this.limit.sample(job, time);
 			this.holds.note(job, time.heldMs);
 		}
@@ -188,10 +171,7 @@
 		this.grantNext();
 	}
 
-	/**
-	 * Ends a control window: expires waiting calls, then sets limit and cutoffs. Cutoffs are set once
-	 * in the time that a call takes, since before that nothing shows of what they have changed.
-	 */
+	/** Ends a control window: expires waiting calls, then sets limit and cutoffs. */
 	closeWindow(): void {
 		const nowMs = this.opts.clock.monotonic();
 		for (const waiter of this.queue.expired(nowMs)) {
@@ -200,40 +180,16 @@
 
 		this.limit.closeWindow(this.peak);
 		this.peak = this.running;
-		this.interval.windows++;
-		if (this.interval.windows >= Math.min(maxHeldWindows, this.holds.meanMs / windowMs)) {
-			this.setCutoffs();
-		}
-
+		this.windows.close({meanHoldMs: this.holds.meanMs, isRamping: this.limit.isRamping});
 		this.grantNext();
 	}
 
-	private setCutoffs(): void {
-		if (this.opts.hasCutoffs === false) {
-			this.interval = Interval.create();
-			return;
-		}
-
-		const {interval, holds, control} = this;
-		const standingMs = Math.max(minStandingMs, holds.meanMs * standingCalls);
-		// Until the limit is known, completions say nothing about the capacity.
-		const isKnown = !this.limit.isRamping;
-		control.close({
-			windows: interval.windows,
-			arrivals: interval.arrivals,
-			completions: interval.completions,
-			isStanding: isKnown && interval.isStanding(standingMs),
-			shedRank: isKnown ? interval.shedRank : Number.POSITIVE_INFINITY,
-		});
-		this.interval = Interval.create();
-	}
-
 	private async wait(call: Call, nowMs: number): Promise<Result<true, Fault>> {
 		const maxSize = Math.max(minQueueSize, this.limit.value * maxQueueShare);
 		if (this.queue.size >= maxSize) {
 			const evicted = this.queue.evictBelow({rank: call.rank, isStarted: call.depth > 0});
 			if (!evicted) {
-				this.interval.shed(call.rank);
+				this.windows.events.shed(call.rank);
 				return this.refuse(admissionFaults.overloaded);
 			}
 
@@ -251,7 +207,13 @@
 				rank: call.rank,
 				isStarted: call.depth > 0,
 				enqueuedMs: nowMs,
-				expiresMs: this.expiryOf(call, nowMs),
+				expiresMs: latestStart({
+					nowMs,
+					deadlineMs: call.deadlineMs,
+					holdMs: this.holds.of(call.job),
+					meanHoldMs: this.holds.meanMs,
+					isRamping: this.limit.isRamping,
+				}),
 				grant() {
 					call.signal.removeEventListener('abort', stop);
 					resolve(ok(true));
@@ -266,17 +228,6 @@
 		});
 	}
 
-	/** A call that could not end in time any more is not started. */
-	private expiryOf({job, deadlineMs}: Call, nowMs: number): number {
-		const leastMs = this.limit.isRamping ? rampQueueWaitMs : minQueueWaitMs;
-		const maxWaitMs = Math.max(leastMs, this.holds.meanMs * queueWaitCalls);
-		const latestMs = Math.max(
-			deadlineMs - this.holds.of(job),
-			nowMs + (deadlineMs - nowMs) * minWaitShare,
-		);
-		return Math.min(latestMs, nowMs + maxWaitMs);
-	}
-
 	private grantNext(): void {
 		const nowMs = this.opts.clock.monotonic();
 		while (this.running < this.limit.value) {
@@ -290,7 +241,7 @@
 				continue;
 			}
 
-			this.interval.waited(nowMs - waiter.enqueuedMs);
+			this.windows.events.waited(nowMs - waiter.enqueuedMs);
 			this.running++;
 			this.peak = Math.max(this.peak, this.running);
 			waiter.grant();
@@ -298,12 +249,12 @@
 	}
 
 	private shed({rank, refuse}: {readonly rank: number; readonly refuse: () => void}): void {
-		this.interval.shed(rank);
+		this.windows.events.shed(rank);
 		refuse();
 	}
 
 	private begin(rank: number, nowMs: number): void {
-		this.interval.waited(0);
+		this.windows.events.waited(0);
 		this.running++;
 		this.peak = Math.max(this.peak, this.running);
 		this.queue.countServed(rank, nowMs);
--- /dev/null
+++ b/packages/control/test/latest-start.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {latestStart} from '../src/latest-start.js';
+
+const calm = {nowMs: 1000, deadlineMs: 3000, holdMs: 100, meanHoldMs: 100, isRamping: false};
+
+test('a call waits four times as long as calls hold their place', () => {
+	assert.equal(latestStart(calm), 1400);
+});
+
+test('a call that could not end in time any more is not started', () => {
+	assert.equal(latestStart({...calm, deadlineMs: 1300}), 1200);
+});
+
+test('a call of a slow job may wait half of its time', () => {
+	assert.equal(latestStart({...calm, deadlineMs: 1200, holdMs: 500}), 1100);
+});
+
+test('calls wait longer while the limit of a new upstream is being found', () => {
+	assert.equal(latestStart({...calm, meanHoldMs: 10, isRamping: true}), 2000);
+	assert.equal(latestStart({...calm, meanHoldMs: 10}), 1200);
+});
+
+test('no call waits beyond its deadline', () => {
+	const ms = fc.nat(100_000);
+	fc.assert(
+		fc.property(ms, ms, ms, ms, fc.boolean(), (nowMs, leftMs, holdMs, meanHoldMs, isRamping) => {
+			const deadlineMs = nowMs + leftMs;
+			const startMs = latestStart({nowMs, deadlineMs, holdMs, meanHoldMs, isRamping});
+			assert.ok(startMs >= nowMs && startMs <= deadlineMs);
+		}),
+		{seed: 20_261_204},
+	);
+});
