Let a newcomer learn of every member at once

A member that had heard of the newcomer before the newcomer's greeting came left its own record out of its answer. A node asked for the member table only in its own data centre, although members of a whole group keep one table, so most synchronizations repaired nothing.

Ruled out: lost datagrams alone; the entries were read within 0.1 s of the start, and the members that were missing were greeted then.

--- a/packages/members/src/datagram.ts
+++ b/packages/members/src/datagram.ts
@@ -18,6 +18,9 @@
 	readonly rumors: readonly Rumor[];
 	/** Member to probe on the sender's behalf, for a ping request. */
 	readonly target?: string;
-	/** Set when the sender of the ping is not in the table. */
+	/**
+	 * Set in an acknowledgement when the sender of the ping is not in the table, and in a ping when its
+	 * sender does not know whom it pings. Either asks for the other's own record.
+	 */
 	readonly isStranger?: boolean;
 };
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -211,9 +211,7 @@
 
 	/** Greets every address given, so that this node and those behind them learn of one another. */
 	readonly greet = (addresses: readonly Address[]): void => {
-		for (const address of addresses) {
-			this.outbox.send(address, datagramTypes.ping, [this.outbox.ownRumor()]);
-		}
+		this.prober.greet(addresses);
 	};
 
 	/** Tells a sender whose record of itself is out of date, such as after its clock went back. */
--- a/packages/members/src/ping-answers.ts
+++ b/packages/members/src/ping-answers.ts
@@ -38,7 +38,7 @@
 		const rumors = isHome
 			? [...(isDown ? [{kind: rumorKinds.member, member: known} as const] : []), ...outbox.news()]
 			: [...this.contactsOffered(), ...this.introduce(ping.group)];
-		if (isHome && !known) {
+		if (isHome && (!known || ping.isStranger)) {
 			rumors.unshift(outbox.ownRumor());
 		}
 
--- a/packages/members/src/prober.ts
+++ b/packages/members/src/prober.ts
@@ -55,9 +55,14 @@
 
 	/** Makes this node known to the members that its settings name. */
 	greetSeeds(): void {
-		const {seeds, outbox} = this.opts;
-		for (const seed of seeds) {
-			outbox.send(seed, datagramTypes.ping, [outbox.ownRumor()]);
+		this.greet(this.opts.seeds);
+	}
+
+	/** Makes this node known at addresses, and asks who is there. */
+	greet(addresses: readonly Address[]): void {
+		const {outbox} = this.opts;
+		for (const address of addresses) {
+			outbox.send(address, datagramTypes.ping, [outbox.ownRumor()], {isStranger: true});
 		}
 	}
 
--- a/packages/node/src/peers/sync-with.ts
+++ b/packages/node/src/peers/sync-with.ts
@@ -12,13 +12,13 @@
 
 /**
  * Fetches from a member what it holds that is newer: policy sections, and its member table if it is
- * of the same data centre.
+ * of the same group.
  *
  * @example
  * await syncWith({peers, config, gossip}, member);
  */
 export const syncWith = async ({peers, config, gossip}: Deps, member: Member): Promise<void> => {
-	const wantsMembers = member.dataCentre === gossip.self.dataCentre;
+	const wantsMembers = member.group === gossip.self.group;
 	const reply = await peers.ask(member, id => ({
 		type: messageTypes.sync,
 		id,
--- a/packages/testbed/test/gossip.test.ts
+++ b/packages/testbed/test/gossip.test.ts
@@ -25,6 +25,22 @@
 	}
 });
 
+test('a newcomer learns of members that heard of it before it greeted them', async () => {
+	const network = await grow({dc1: 12});
+	const known = network.sites.map(({port}) => ({host: '10.0.0.1', port}));
+	const newcomer = network.add('dc1', 'dc1-new', []);
+	// All of them hear of the newcomer from one, and only then from itself.
+	newcomer.gossip.greet(known.slice(0, 1));
+	await network.clock.advance(0);
+	for (const {gossip} of network.sites.slice(0, 12)) {
+		gossip.mergeMembers([newcomer.gossip.self]);
+	}
+
+	newcomer.gossip.greet(known);
+	await network.clock.advance(0);
+	assert.equal(newcomer.gossip.table.alive.length, 13);
+});
+
 test('a rack that fails at once is removed everywhere, and only it', async () => {
 	const network = await grow({dc1: 40});
 	for (const site of network.sites.slice(10, 20)) {
