Keep calls in flight when a configuration changes connections, and find those that return

A node that had restarted took up its upstream twice, the second time 0.7 to 3.2 s later, when the configuration had come: other terms for connections closed the whole pool and cut what ran. And a node that restarts while the store does not answer knows nobody to ask, since its group had noted that it left.

Change: an upstream under new terms keeps its pool; the admission is renewed only if its limit differs. Each period a group greets members that are gone, three times each on average, and tells them what is believed of them.

Figures: two tests that failed first: a call in flight was answered 502, now 200; a member that left and started again with nobody to ask was alone after 4 s, now it is found. A third, for a member that ended without a word, held before.

--- a/packages/members/src/member-table.ts
+++ b/packages/members/src/member-table.ts
@@ -40,6 +40,11 @@
 		return [...this.rows.values()].map(({member}) => member);
 	}
 
+	/** Members that are dead or have left and are not forgotten yet. */
+	get gone(): readonly Member[] {
+		return this.all.filter(member => !isUp(member));
+	}
+
 	/** A number that two tables share when they know the same. */
 	get digest(): number {
 		return this.hash;
--- a/packages/members/src/prober.ts
+++ b/packages/members/src/prober.ts
@@ -24,6 +24,9 @@
 const indirectProbes = 3;
 const contactsPassedOn = 2;
 
+/** Greetings that a member which is gone gets from its group in each period, on average. */
+const greetingsToGone = 3;
+
 /**
  * Probes members: each period one at random, and as a gateway one contact of each other group.
  * A member that neither answers nor can be reached by others is suspected, then given up.
@@ -45,6 +48,7 @@
 
 	/** Makes the probes of one period. */
 	async round(signal: AbortSignal): Promise<void> {
+		this.greetGone();
 		await this.probeNext(signal);
 		if (this.opts.isGateway()) {
 			await this.probeContacts();
@@ -75,6 +79,21 @@
 		}
 	}
 
+	/**
+	 * Greets the address of a member that is gone: it may have come back without anybody to ask for the
+	 * others, or have been cut off. It is told what is believed of it, so that it can refute that.
+	 */
+	private greetGone(): void {
+		const {knowledge, outbox, random} = this.opts;
+		const {table} = knowledge;
+		const {gone, alive} = table;
+		if (random.next() < (gone.length * greetingsToGone) / alive.length) {
+			const member = gone[random.below(gone.length)]!;
+			const rumors = [outbox.ownRumor(), {kind: rumorKinds.member, member}];
+			outbox.send(addressOf(member), datagramTypes.ping, rumors, {isStranger: true});
+		}
+	}
+
 	private nextTarget(): Member | undefined {
 		const {table, self} = this.opts.knowledge;
 		while (this.order.length > 0) {
--- a/packages/node/src/upstream/pool.ts
+++ b/packages/node/src/upstream/pool.ts
@@ -1,10 +1,14 @@
 import {type Clock, type Log, events} from '@medlarsaddle/core';
 import {Connection} from './connection.js';
 
-type Opts = {
-	readonly origin: string;
+/** What may change while the upstream stays the same. */
+type Terms = {
 	readonly healthPath: string;
 	readonly maxConnections: number;
+};
+
+type Opts = Terms & {
+	readonly origin: string;
 	readonly maxBodyBytes: number;
 	readonly clock: Clock;
 	readonly log: Log;
@@ -30,10 +34,13 @@
 	}
 
 	private idle: Connection[] = [];
+	private terms: Terms;
 	private trustedFromMs = Number.NEGATIVE_INFINITY;
 	private readonly all = new Set<Connection>();
 
-	private constructor(private readonly opts: Opts) {}
+	private constructor(private readonly opts: Opts) {
+		this.terms = opts;
+	}
 
 	/** Connections that exist. */
 	get size(): number {
@@ -74,6 +81,11 @@
 		}
 	}
 
+	/** Takes up new terms. Calls in flight go on; what is too many closes as it is given back. */
+	adapt(terms: Terms): void {
+		this.terms = terms;
+	}
+
 	/** Trusts no connection any more before it has answered again; one of them went silent. */
 	doubtAll(): void {
 		this.trustedFromMs = this.opts.clock.monotonic();
@@ -81,7 +93,7 @@
 
 	/** Puts back a connection that can be used again, or forgets one that can't. */
 	giveBack(connection: Connection): void {
-		if (connection.isUsable && this.all.size <= this.opts.maxConnections) {
+		if (connection.isUsable && this.all.size <= this.terms.maxConnections) {
 			this.idle.push(connection);
 		} else {
 			this.drop(connection);
@@ -130,7 +142,7 @@
 	private async answers(connection: Connection): Promise<boolean> {
 		const reply = await connection.send({
 			method: 'GET',
-			path: this.opts.healthPath,
+			path: this.terms.healthPath,
 			headers: [],
 			body: new Uint8Array(),
 			signal: AbortSignal.timeout(probeMs),
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -99,7 +99,10 @@
 		return this.serving?.admission;
 	}
 
-	/** Takes up an announcement; a new instance starts with fresh limits. */
+	/**
+	 * Takes up an announcement. A new instance starts with fresh limits; the same one under new terms
+	 * keeps its connections, so that calls in flight go on.
+	 */
 	announce(next: Announcement): void {
 		const before = this.serving?.announcement;
 		this.lease.renew();
@@ -111,11 +114,16 @@
 			before?.instance === next.instance &&
 			before.service === next.service &&
 			before.port === next.port &&
-			before.host === next.host &&
-			before.connections === next.connections &&
-			before.slots === next.slots;
+			before.host === next.host;
 		if (isSame && this.serving) {
-			this.serving = {...this.serving, announcement: next};
+			const {pool, admission} = this.serving;
+			const {healthPath, connections} = next;
+			pool.adapt({healthPath, maxConnections: connections});
+			this.serving = {
+				announcement: next,
+				pool,
+				admission: this.hasSameLimit(before, next) ? admission : this.opts.createAdmission(next),
+			};
 			if (before.draining !== next.draining) {
 				this.opts.onChanged();
 			}
@@ -252,6 +260,12 @@
 		}
 	}
 
+	private hasSameLimit(one: Announcement, other: Announcement): boolean {
+		const isUnchanged = one.slots === other.slots && one.connections === other.connections;
+		const {createAdmission} = this.opts;
+		return isUnchanged || createAdmission(one).limitValue === createAdmission(other).limitValue;
+	}
+
 	/** Whether everything wanted is taken: nothing is cut off here and no share is held back. */
 	private isOpen(admission: Admission): boolean {
 		return admission.cutoffs.isOpen && this.opts.pressure.ownShare === 1;
--- a/packages/testbed/src/harness/gossip-network.ts
+++ b/packages/testbed/src/harness/gossip-network.ts
@@ -57,8 +57,12 @@
 	}
 
 	/** Adds a member whose seeds are the first few members. */
-	add(dataCentre: string, id = `${dataCentre}-${this.nextPort}`, seeds = this.seedPorts()): Site {
-		const port = this.nextPort++;
+	add(
+		dataCentre: string,
+		id = `${dataCentre}-${this.nextPort}`,
+		seeds = this.seedPorts(),
+		port = this.nextPort++,
+	): Site {
 		const versions = new Map<string, number>();
 		const abort = new AbortController();
 		const {clock} = this;
--- a/packages/testbed/test/gossip.test.ts
+++ b/packages/testbed/test/gossip.test.ts
@@ -41,6 +41,26 @@
 	assert.equal(newcomer.gossip.table.alive.length, 13);
 });
 
+for (const [how, leaves] of [
+	['ended without a word', false],
+	['left', true],
+] as const) {
+	test(`a member that ${how} and starts again with nobody to ask is found by the others`, async () => {
+		const network = await grow({dc1: 12});
+		const [before] = network.sites.splice(5, 1);
+		if (leaves) {
+			before!.gossip.update({state: 'left'});
+		}
+
+		before!.stop();
+		await network.clock.advance(leaves ? 1000 : 8000);
+		const {id} = before!.gossip.self;
+		network.add('dc1', id, [], before!.port);
+		await network.clock.advance(4000);
+		assert.ok(network.isConverged);
+	});
+}
+
 test('a rack that fails at once is removed everywhere, and only it', async () => {
 	const network = await grow({dc1: 40});
 	for (const site of network.sites.slice(10, 20)) {
--- a/packages/testbed/test/routes.test.ts
+++ b/packages/testbed/test/routes.test.ts
@@ -207,6 +207,42 @@
 	);
 });
 
+test('a call in flight goes on when a configuration allows its upstream other connections', async () => {
+	const id = idOf();
+	let release = () => {};
+	const isHeld = new Promise<void>(resolve => {
+		for (const {upstream} of hosts) {
+			upstream.manner = (req, res) => {
+				release = () => {
+					upstream.answer(req, res);
+				};
+
+				resolve();
+			};
+		}
+	});
+	const answer = hosts[0]!.send('/look/held', {'attempt-id': id, 'deadline-ms': '2000'});
+	await isHeld;
+	for (const {upstream} of hosts) {
+		upstream.manner = upstream.answer;
+	}
+
+	const wider = {...configuration(7, [...rules, route('new', '/new/', 'idempotent', 'pay')])};
+	platform.write('config', 'main', {
+		...wider,
+		clusters: [{name: 'pay', healthPath: '/health', maxConns: 70}],
+	});
+	await each(async host =>
+		host.until(() =>
+			host.daemon.lines.some(({event, version}) => event === 'MS4001' && version === 7),
+		),
+	);
+	await each(async host => host.report());
+	release();
+	assert.equal((await answer).status, 200);
+	assert.equal(ranOn(id), 1);
+});
+
 test('a daemon goes on when its settings have changed', async () => {
 	const [host] = hosts;
 	host!.daemon.signal('SIGHUP');
