Leave out data centres that are cut off, and keep bytecode for a faster start

Change: a data centre is left out for a second once calls were lost at two of its nodes and nothing was heard from there since; suspected members are left out while there are others. The deployed program is a script with the bytecode of what a start and some requests run, made at the build; without it, or under another Node.js, it runs all the same.

--- a/packages/control/src/choose-near.ts
+++ b/packages/control/src/choose-near.ts
@@ -11,6 +11,8 @@
 	/** Time within which an answer is worth most, in milliseconds. */
 	readonly goalMs: number;
 	readonly dataCentre: string;
+	/** Whether this node seems to be cut off from a data centre. */
+	readonly isLost: (dataCentre: string) => boolean;
 };
 
 /**
@@ -26,11 +28,12 @@
 
 /**
  * Chooses the endpoint at which a call endangers its goal least, with one in the same data centre
- * going first while it is not pressed. Endpoints that were tried for this call are left out, and so
- * are those to be avoided while others remain.
+ * going first while it is not pressed. Endpoints that were tried for this call are left out; those to
+ * be avoided, those whose node is suspected and those of a data centre that is cut off are as long as
+ * others remain.
  *
  * @example
- * const endpoint = chooseNear({endpoints, tried, view, random, job, goalMs: 300, dataCentre: 'dc1'});
+ * const endpoint = chooseNear({endpoints, tried, view, random, job, goalMs: 300, dataCentre: 'dc1', isLost});
  */
 export const chooseNear = ({
 	endpoints,
@@ -40,10 +43,12 @@
 	job,
 	goalMs,
 	dataCentre,
+	isLost,
 }: Opts): Endpoint | undefined => {
 	const fresh = endpoints.filter(({node}) => !tried.has(node));
-	const usable = fresh.filter(({node}) => !view.isAvoided(node));
-	const pool = usable.length > 0 ? usable : fresh;
+	const working = fresh.filter(({node}) => !view.isAvoided(node));
+	const usable = working.filter(endpoint => !endpoint.isSuspect && !isLost(endpoint.dataCentre));
+	const pool = [usable, working, fresh].find(({length}) => length > 0) ?? [];
 	const near = pool.filter(endpoint => endpoint.dataCentre === dataCentre);
 	const far = pool.filter(endpoint => endpoint.dataCentre !== dataCentre);
 	const abroadMs = Math.max(minAbroadMs, goalMs * abroadShare);
--- a/packages/control/src/endpoint.ts
+++ b/packages/control/src/endpoint.ts
@@ -10,4 +10,6 @@
 	readonly dataCentre: string;
 	/** Calls that the upstream runs at once, as last heard; a hint. */
 	readonly weight: number;
+	/** Whether its node did not answer the last probe of it. */
+	readonly isSuspect?: boolean;
 };
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -22,6 +22,7 @@
 export {KeyLedger} from './key-ledger.js';
 export {keyStates} from './key-states.js';
 export {LevelBook} from './level-book.js';
+export {LostPlaces} from './lost-places.js';
 export {Quarantine} from './quarantine.js';
 export {RankQueue} from './rank-queue.js';
 export {returnAfter} from './return-after.js';
--- a/packages/control/test/whole-requests.test.ts
+++ b/packages/control/test/whole-requests.test.ts
@@ -12,6 +12,7 @@
 	SlotLimit,
 	WeightedTurns,
 	WorkShare,
+	LostPlaces,
 	chooseNear,
 	returnAfter,
 	sharesByRank,
@@ -187,6 +188,7 @@
 			job: 'look',
 			goalMs: 1000,
 			dataCentre: 'dc1',
+			isLost: () => false,
 		})?.node;
 	const report = {load: 0.5, limit: 10, job: 'look', heldMs: 100};
 	view.heard('a', {...report, waitMs: 0});
@@ -219,11 +221,71 @@
 			job: 'read',
 			goalMs,
 			dataCentre: 'dc1',
+			isLost: () => false,
 		})?.node;
 	assert.equal(choose(200), 'slow');
 	assert.equal(choose(120), 'fast');
 });
 
+test('endpoints of a data centre that is cut off are left out until one is heard or some time has passed', async () => {
+	const clock = ManualClock.at(0);
+	const view = EndpointView.create(clock);
+	const places = LostPlaces.create(clock);
+	const random = createRandom(1);
+	const endpoints = [
+		{node: 'a', service: 'map', dataCentre: 'dc1', weight: 1},
+		...['b', 'c', 'd'].map(node => ({node, service: 'map', dataCentre: 'dc2', weight: 1})),
+	];
+	const choose = (tried: readonly string[] = []) =>
+		chooseNear({
+			endpoints,
+			tried: new Set(tried),
+			view,
+			random,
+			job: 'look',
+			goalMs: 1000,
+			dataCentre: 'dc1',
+			isLost: place => places.isLost(place),
+		})?.dataCentre;
+	view.heard('a', {load: 2, waitMs: 900, limit: 10, job: 'look', heldMs: 100});
+	assert.equal(choose(), 'dc2');
+	places.lost('dc2', 'b');
+	places.lost('dc2', 'b');
+	assert.equal(choose(), 'dc2');
+	places.lost('dc2', 'c');
+	assert.equal(choose(), 'dc1');
+	// What was tried already is worse than what may be lost.
+	assert.equal(choose(['a']), 'dc2');
+	places.heard('dc2');
+	assert.equal(choose(), 'dc2');
+	places.lost('dc2', 'b');
+	places.lost('dc2', 'c');
+	view.heard('a', {load: 2, waitMs: 900, limit: 10, job: 'look', heldMs: 100});
+	assert.equal(choose(), 'dc1');
+	await clock.advance(1001);
+	assert.equal(places.isLost('dc2'), false);
+});
+
+test('an endpoint whose node is suspected is left out while there are others', () => {
+	const view = EndpointView.create(ManualClock.at(0));
+	const random = createRandom(1);
+	const suspect = {node: 'a', service: 'map', dataCentre: 'dc1', weight: 1, isSuspect: true};
+	const other = {node: 'b', service: 'map', dataCentre: 'dc2', weight: 1, isSuspect: false};
+	const choose = (endpoints: ReadonlyArray<typeof other>) =>
+		chooseNear({
+			endpoints,
+			tried: new Set(),
+			view,
+			random,
+			job: 'look',
+			goalMs: 1000,
+			dataCentre: 'dc1',
+			isLost: () => false,
+		})?.node;
+	assert.equal(choose([suspect, other]), 'b');
+	assert.equal(choose([suspect]), 'a');
+});
+
 test('an endpoint that falls silent while calls wait for it is left out until it is heard again', async () => {
 	const clock = ManualClock.at(0);
 	const view = EndpointView.create(clock);
--- a/packages/daemon/src/bin/medlarsaddled.ts
+++ b/packages/daemon/src/bin/medlarsaddled.ts
@@ -137,9 +137,14 @@
 	process.exit(code);
 };
 
-try {
-	end(await main());
-} catch (error) {
-	output.write(`${JSON.stringify({level: 'error', text: errorText(error)})}\n`);
-	end(exitCodes.failed);
-}
+const run = async (): Promise<void> => {
+	try {
+		end(await main());
+	} catch (error) {
+		output.write(`${JSON.stringify({level: 'error', text: errorText(error)})}\n`);
+		end(exitCodes.failed);
+	}
+};
+
+// A script, as which it is deployed, cannot await at its top level.
+void run();
--- a/packages/node/src/calls/directory.ts
+++ b/packages/node/src/calls/directory.ts
@@ -1,5 +1,5 @@
 import type {Endpoint} from '@medlarsaddle/control';
-import type {Gossip, Member} from '@medlarsaddle/members';
+import {type Gossip, type Member, memberStates} from '@medlarsaddle/members';
 
 /**
  * Endpoints by service, from the member table.
@@ -58,10 +58,11 @@
 
 	private build(): Map<string, Endpoint[]> {
 		const byService = new Map<string, Endpoint[]>();
-		for (const {id, dataCentre, offers} of this.gossip().table.alive) {
+		for (const {id, dataCentre, offers, state} of this.gossip().table.alive) {
+			const isSuspect = state === memberStates.suspect;
 			for (const {service, slots, draining} of offers) {
 				if (!draining) {
-					const endpoint = {node: id, service, dataCentre, weight: slots};
+					const endpoint = {node: id, service, dataCentre, weight: slots, isSuspect};
 					byService.set(service, [...(byService.get(service) ?? []), endpoint]);
 				}
 			}
--- a/packages/node/src/calls/near-selector.ts
+++ b/packages/node/src/calls/near-selector.ts
@@ -1,4 +1,4 @@
-import {EndpointView, chooseNear} from '@medlarsaddle/control';
+import {EndpointView, LostPlaces, chooseNear} from '@medlarsaddle/control';
 import {type Clock, type Random, faultKinds} from '@medlarsaddle/core';
 import {runStates} from '@medlarsaddle/wire';
 import type {Directory} from './directory.js';
@@ -23,6 +23,9 @@
 	faultKinds.unreachable,
 ]);
 
+/** Refusals after which nothing shows that the node can be reached. */
+const lossFaults = new Set<string>([faultKinds.unreachable, faultKinds.deadline]);
+
 /**
  * Chooses the endpoint at which a call should end first, one of this data centre while it is not
  * pressed.
@@ -37,6 +40,7 @@
 	dataCentre,
 }: Deps): EndpointSelector => {
 	const view = EndpointView.create(clock);
+	const places = LostPlaces.create(clock);
 	return {
 		choose: ({service, job, goalMs = 0}, tried) =>
 			chooseNear({
@@ -47,6 +51,7 @@
 				job,
 				goalMs,
 				dataCentre,
+				isLost: place => places.isLost(place),
 			}),
 		began(node) {
 			view.began(node);
@@ -54,10 +59,19 @@
 		ended(node, {job}, outcome) {
 			view.ended(node);
 			const {result, load, state} = outcome;
+			const place = directory.memberOf(node)?.dataCentre;
 			if (state) {
 				view.heard(node, {load, job, ...state});
 			}
 
+			if (place !== undefined) {
+				if (state) {
+					places.heard(place);
+				} else if (result.kind === 'refusal' && lossFaults.has(result.fault)) {
+					places.lost(place, node);
+				}
+			}
+
 			const isAbsent =
 				result.kind === 'refusal' &&
 				result.run === runStates.notRun &&
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -1,19 +1,24 @@
+import {copyFile, rm} from 'node:fs/promises';
 import {build} from 'esbuild';
+import {keepBytecode} from './keep-bytecode.js';
 
-// Libraries that are not ES modules ask for Node.js's own modules by `require`.
-const banner =
-	"import {createRequire as createRequireOf} from 'node:module';" +
-	'const require = createRequireOf(import.meta.url);';
+const loader = 'target/medlarsaddled.cjs';
+
+/** As in deploy/system.toml: bytecode is only taken up under the flags that it was made under. */
+const flags = ['--max-old-space-size=200'];
 
 await build({
 	entryPoints: ['packages/daemon/src/bin/medlarsaddled.ts'],
-	outfile: 'target/medlarsaddled.mjs',
+	outfile: 'target/medlarsaddled.bundle.cjs',
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
-	format: 'esm',
+	// Bytecode can be kept for scripts, not for ES modules.
+	format: 'cjs',
 	conditions: ['source'],
 	minifySyntax: true,
-	banner: {js: banner},
 	logLevel: 'warning',
 });
+await rm('target/medlarsaddled.bytecode', {force: true});
+await copyFile('tools/loader.cjs', loader);
+await keepBytecode(loader, flags);
