--- a/packages/testbed/src/soak/broken-promises.ts
+++ b/packages/testbed/src/soak/broken-promises.ts
@@ -1,5 +1,5 @@
 import {bodyOf} from './body-of.js';
-import type {Record} from './record.js';
+import type {SoakRecord} from './soak-record.js';
 import type {Sent} from './sent.js';
 
 /** Bound on work that reaches an upstream after its leaving was confirmed, in milliseconds: `drainMs` of the platform. */
@@ -17,7 +17,7 @@
 /** Statuses which say that the request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
-type Check = (record: Record) => string[];
+type Check = (record: SoakRecord) => string[];
 
 /**
  * The promises that a record shows to be broken, a line each; none when all were kept.
@@ -27,9 +27,10 @@
  * 	console.log(line);
  * }
  */
-export const brokenPromises = (record: Record): string[] => checks.flatMap(check => check(record));
+export const brokenPromises = (record: SoakRecord): string[] =>
+	checks.flatMap(check => check(record));
 
-const runsOf = ({runs}: Record): Map<string, number> => {
+const runsOf = ({runs}: SoakRecord): Map<string, number> => {
 	const counts = new Map<string, number>();
 	for (const {id} of runs) {
 		counts.set(id, (counts.get(id) ?? 0) + 1);
--- a/packages/testbed/src/soak/harm-of.ts
+++ b/packages/testbed/src/soak/harm-of.ts
@@ -1,4 +1,4 @@
-import type {Record} from './record.js';
+import type {SoakRecord} from './soak-record.js';
 import type {Step} from './step.js';
 
 /** Kinds of step that excuse a request that was cut. Trouble of the store excuses nothing. */
@@ -10,7 +10,7 @@
  * @example
  * const harm = harmOf(steps, clock.monotonic());
  */
-export const harmOf = (steps: readonly Step[], beganMs: number): Record['harm'] =>
+export const harmOf = (steps: readonly Step[], beganMs: number): SoakRecord['harm'] =>
 	steps
 		.filter(({kind}) => harmful.has(kind))
 		.map(({atMs, forMs}) => ({fromMs: beganMs + atMs, toMs: beganMs + atMs + forMs}));
--- a/packages/testbed/src/soak/soak-host.ts
+++ b/packages/testbed/src/soak/soak-host.ts
@@ -101,8 +101,8 @@
 	}
 
 	/**
-	 * Tells the daemon to stop, and starts it again once it has ended. Returns whether this signal began
-	 * the stop of a daemon that served callers.
+	 * Tells the daemon to stop. Returns whether this signal began the stop of a daemon that served
+	 * callers.
 	 */
 	beginStop(): boolean {
 		const isFirst = this.stopped !== this.life;
--- a/packages/testbed/src/soak/record.ts
+++ b/packages/testbed/src/soak/soak-record.ts
@@ -9,7 +9,7 @@
  * @example
  * const broken = brokenPromises(record);
  */
-export type Record = {
+export type SoakRecord = {
 	readonly sent: readonly Sent[];
 	readonly runs: readonly Run[];
 	/** When a node confirmed that an upstream leaves. */
--- a/packages/testbed/src/soak/soak.ts
+++ b/packages/testbed/src/soak/soak.ts
@@ -5,7 +5,7 @@
 import {drawSteps} from './draw-steps.js';
 import {harmOf} from './harm-of.js';
 import {linkFaults} from './link-faults.js';
-import type {Record} from './record.js';
+import type {SoakRecord} from './soak-record.js';
 import type {Run} from './run.js';
 import type {Sent} from './sent.js';
 import {runSoakCaller} from './soak-caller.js';
@@ -28,7 +28,7 @@
 	/** A line for each promise that was broken; none when all were kept. */
 	readonly broken: readonly string[];
 	readonly steps: readonly Step[];
-	readonly record: Record;
+	readonly record: SoakRecord;
 	/** The last lines that each host's daemon logged. */
 	readonly logs: ReadonlyMap<string, SoakHost['log']>;
 };
@@ -76,8 +76,8 @@
 	private readonly hosts: SoakHost[] = [];
 	private readonly sent: Sent[] = [];
 	private readonly runs: Run[] = [];
-	private readonly drains: Array<Record['drains'][number]> = [];
-	private readonly stops: Array<Record['stops'][number]> = [];
+	private readonly drains: Array<SoakRecord['drains'][number]> = [];
+	private readonly stops: Array<SoakRecord['stops'][number]> = [];
 	private readonly versions = new Map<string, number>();
 	private readonly random: Random;
 	private version = 0;
--- a/packages/testbed/test/routes.test.ts
+++ b/packages/testbed/test/routes.test.ts
@@ -40,6 +40,21 @@
 const each = async <Value>(act: (host: RoutedHost) => Promise<Value>) =>
 	Promise.all(hosts.map(async host => act(host)));
 
+/** Sends a request that must be served; a failure tells how the node ended it. */
+const assertServed = async (host: RoutedHost, target: string): Promise<void> => {
+	const id = idOf();
+	const {status} = await host.send(target, {'attempt-id': id});
+	const ended = () =>
+		host.daemon.lines.find(({event, request}) => event === 'MS6001' && request === id);
+	if (status !== 200) {
+		await host.until(() => ended() !== undefined);
+		const refused = hosts.flatMap(({daemon}) =>
+			daemon.lines.filter(({event, request}) => event !== 'MS6001' && request === id),
+		);
+		assert.fail(`${target} was answered ${status}: ${JSON.stringify([ended(), ...refused])}`);
+	}
+};
+
 before(async () => {
 	platform = await Platform.start();
 	platform.write('config', 'main', configuration(3, rules));
@@ -209,27 +224,23 @@
 
 test('a call in flight goes on when a configuration allows its upstream other connections', async () => {
 	const id = idOf();
-	let release = () => {};
-	const isHeld = new Promise<void>(resolve => {
-		for (const {upstream} of hosts) {
-			upstream.manner = (req, res) => {
-				release = () => {
-					upstream.answer(req, res);
-				};
-
-				resolve();
-			};
-		}
-	});
+	const held: Array<() => void> = [];
+	for (const {upstream} of hosts) {
+		upstream.manner = (req, res) => {
+			held.push(() => {
+				upstream.answer(req, res);
+			});
+		};
+	}
+
 	const answer = hosts[0]!.send('/look/held', {'attempt-id': id, 'deadline-ms': '2000'});
-	await isHeld;
+	await hosts[0]!.until(() => held.length > 0);
 	for (const {upstream} of hosts) {
 		upstream.manner = upstream.answer;
 	}
 
-	const wider = {...configuration(7, [...rules, route('new', '/new/', 'idempotent', 'pay')])};
 	platform.write('config', 'main', {
-		...wider,
+		...configuration(7, [...rules, route('new', '/new/', 'idempotent', 'pay')]),
 		clusters: [{name: 'pay', healthPath: '/health', maxConns: 70}],
 	});
 	await each(async host =>
@@ -238,7 +249,10 @@
 		),
 	);
 	await each(async host => host.report());
-	release();
+	for (const release of held) {
+		release();
+	}
+
 	assert.equal((await answer).status, 200);
 	assert.equal(ranOn(id), 1);
 });
@@ -247,7 +261,7 @@
 	const [host] = hosts;
 	host!.daemon.signal('SIGHUP');
 	await host!.until(() => host!.daemon.lines.some(({event}) => event === 'MS1007'));
-	assert.equal((await host!.send('/look/9', {'attempt-id': idOf()})).status, 200);
+	await assertServed(host!, '/look/9');
 });
 
 test('an upstream whose departure was confirmed gets no more work', async () => {
@@ -255,8 +269,7 @@
 	assert.equal(await leaving!.report('draining'), 200);
 	const before = leaving!.upstream.ran.length;
 	for (let request = 0; request < 10; request++) {
-		const answer = await leaving!.send(`/look/${request}`, {'attempt-id': idOf()});
-		assert.equal(answer.status, 200);
+		await assertServed(leaving!, `/look/${request}`);
 	}
 
 	assert.equal(leaving!.upstream.ran.length, before);
--- a/packages/testbed/test/soak.test.ts
+++ b/packages/testbed/test/soak.test.ts
@@ -4,7 +4,7 @@
 import {bodyOf} from '../src/soak/body-of.js';
 import {brokenPromises} from '../src/soak/broken-promises.js';
 import {drawSteps} from '../src/soak/draw-steps.js';
-import type {Record} from '../src/soak/record.js';
+import type {SoakRecord} from '../src/soak/soak-record.js';
 import type {Sent} from '../src/soak/sent.js';
 import {Soak} from '../src/soak/soak.js';
 import {soakCases} from '../src/soak/soak-cases.js';
@@ -29,7 +29,7 @@
 	body: 'content',
 	atMs: 1010,
 };
-const kept: Record = {
+const kept: SoakRecord = {
 	sent: [sent],
 	runs: [run],
 	drains: [],
@@ -48,27 +48,28 @@
 	return {...sent, id, target, answer, isIdempotent: true, sentMs, endMs: sentMs + 10};
 };
 
-const brokenRecords: ReadonlyArray<readonly [name: string, record: Partial<Record>, told: RegExp]> =
+const brokenRecords: ReadonlyArray<
+	readonly [name: string, record: Partial<SoakRecord>, told: RegExp]
+> = [
+	['runs twice', {runs: [run, {...run, instance: 'i-2'}]}, /ran 2 times/v],
+	['runs though refused', {sent: [{...sent, status: 503}]}, /although it was answered 503/v],
 	[
-		['runs twice', {runs: [run, {...run, instance: 'i-2'}]}, /ran 2 times/v],
-		['runs though refused', {sent: [{...sent, status: 503}]}, /although it was answered 503/v],
-		[
-			'gets another answer',
-			{sent: [{...sent, answer: {...sent.answer!, id: 'x-2'}}]},
-			/not its own/v,
-		],
-		['gets a part', {sent: [{...sent, answer: {...sent.answer!, body: 'x-1;'}}]}, /not whole/v],
-		['gets no seal', {sent: [{...sent, answer: {...sent.answer!, seal: undefined}}]}, /seal/v],
-		['is invented', {runs: [run, {...run, id: 'x-2'}]}, /nobody sent/v],
-		['is changed', {runs: [{...run, body: 'other'}]}, /nobody sent/v],
-		[
-			'reaches an upstream that left',
-			{drains: [{instance: 'i-1', confirmedMs: -2000}]},
-			/after its leaving was confirmed/v,
-		],
-		['goes back', {sent: [by(2, 100), by(1, 200)], runs: []}, /after v-2 had run by version 2/v],
-		['is cut', {sent: [cut], stops: [{host: 'h1', life: 1, atMs: 1020}]}, /planned stop of h1/v],
-	];
+		'gets another answer',
+		{sent: [{...sent, answer: {...sent.answer!, id: 'x-2'}}]},
+		/not its own/v,
+	],
+	['gets a part', {sent: [{...sent, answer: {...sent.answer!, body: 'x-1;'}}]}, /not whole/v],
+	['gets no seal', {sent: [{...sent, answer: {...sent.answer!, seal: undefined}}]}, /seal/v],
+	['is invented', {runs: [run, {...run, id: 'x-2'}]}, /nobody sent/v],
+	['is changed', {runs: [{...run, body: 'other'}]}, /nobody sent/v],
+	[
+		'reaches an upstream that left',
+		{drains: [{instance: 'i-1', confirmedMs: -2000}]},
+		/after its leaving was confirmed/v,
+	],
+	['goes back', {sent: [by(2, 100), by(1, 200)], runs: []}, /after v-2 had run by version 2/v],
+	['is cut', {sent: [cut], stops: [{host: 'h1', life: 1, atMs: 1020}]}, /planned stop of h1/v],
+];
 
 for (const [name, record, told] of brokenRecords) {
 	test(`the soak tells a request that ${name}`, () => {
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -1,15 +1,17 @@
 import {copyFile, rm} from 'node:fs/promises';
+import path from 'node:path';
 import {build} from 'esbuild';
 import {keepBytecode} from './keep-bytecode.js';
 
-const loader = 'target/medlarsaddled.cjs';
+const folder = process.argv[2] ?? 'target';
+const loader = path.join(folder, 'medlarsaddled.cjs');
 
 /** As in deploy/system.toml: bytecode is only taken up under the flags that it was made under. */
 const flags = ['--max-old-space-size=200'];
 
 await build({
 	entryPoints: ['packages/daemon/src/bin/medlarsaddled.ts'],
-	outfile: 'target/medlarsaddled.bundle.cjs',
+	outfile: path.join(folder, 'medlarsaddled.bundle.cjs'),
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
@@ -19,6 +21,6 @@
 	minifySyntax: true,
 	logLevel: 'warning',
 });
-await rm('target/medlarsaddled.bytecode', {force: true});
+await rm(path.join(folder, 'medlarsaddled.bytecode'), {force: true});
 await copyFile('tools/loader.cjs', loader);
 await keepBytecode(loader, flags);
