--- a/packages/node/src/root/bind-ports.ts
+++ b/packages/node/src/root/bind-ports.ts
@@ -18,10 +18,10 @@
  * @example
  * const {peerPort} = await bindPorts(settings);
  */
-export const bindPorts = async ({host, peerPort}: Settings): Promise<Bound> => {
+export const bindPorts = async ({host, streamHost = host, peerPort}: Settings): Promise<Bound> => {
 	for (let attempt = 1; ; attempt++) {
 		const peerServer = net.createServer();
-		peerServer.listen(peerPort, host);
+		peerServer.listen(peerPort, streamHost);
 		await once(peerServer, 'listening');
 		const {port} = peerServer.address() as net.AddressInfo;
 		const datagrams = dgram.createSocket('udp4');
--- a/packages/node/src/settings/settings-schema.ts
+++ b/packages/node/src/settings/settings-schema.ts
@@ -23,6 +23,12 @@
 		.optional()
 		.describe('Hosts that keep a full member table of one another; the data centre by default'),
 	host: z.ipv4().default('127.0.0.1').describe('IP number that this node listens on and announces'),
+	streamHost: z
+		.ipv4()
+		.optional()
+		.describe(
+			"IP number that streams of other nodes are accepted on, where a relay takes them on the host's own; that one by default",
+		),
 	httpPort: port.default(8080).describe('Port for callers, health and metrics; 0 takes a free one'),
 	upstreamPort: port
 		.default(8083)
--- /dev/null
+++ b/packages/testbed/src/harness/daemon-on-platform.ts
@@ -0,0 +1,93 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {Child} from '../deploy/child.js';
+import {programs} from '../deploy/programs.js';
+
+type Opts = {
+	readonly id: string;
+	/** IP number of the host that it stands on. */
+	readonly ip?: string;
+	/** Port for other nodes; a free one by default. */
+	readonly peerPort?: number;
+	readonly dataCentre: string;
+	readonly service: string;
+	/** Address of the upstream beside it, as IP:PORT. */
+	readonly upstreamAddress: string;
+	readonly storeUrl: string;
+	/** Further settings, as environment variables. */
+	readonly env?: Readonly<Record<string, string>>;
+};
+
+const parts = ['ready', 'liveness', 'callers'] as const;
+
+type Part = (typeof parts)[number];
+
+/**
+ * The real daemon as a process with a settings file of the platform. The ports it listens on are free
+ * ones, which its log tells.
+ *
+ * @example
+ * const daemon = await DaemonOnPlatform.start({id: 'a', dataCentre, service, upstreamAddress, storeUrl});
+ */
+export class DaemonOnPlatform {
+	/** Starts it and waits until it listens. */
+	static async start({
+		id,
+		ip = '127.0.0.1',
+		peerPort = 0,
+		dataCentre,
+		service,
+		upstreamAddress,
+		storeUrl,
+		env = {},
+	}: Opts): Promise<DaemonOnPlatform> {
+		const folder = await mkdtemp(path.join(os.tmpdir(), 'medlarsaddle-'));
+		const file = path.join(folder, 'settings.json');
+		const free = '127.0.0.1:0';
+		const settings = {
+			nodeName: id,
+			ip,
+			zone: dataCentre,
+			region: 'r',
+			listen: {inbound: free, outbound: free, ready: free, control: free},
+			portRange: [peerPort, peerPort],
+			service,
+			appAddr: upstreamAddress,
+			bounds: ['graceS=6'],
+			platform: {address: storeUrl.replace('http://', ''), readsPerS: 2000},
+		};
+		await writeFile(file, JSON.stringify(settings));
+		const ports = new Map<Part, number>();
+		const child = await Child.start({
+			script: programs.daemon,
+			args: ['--platform', file],
+			env: Object.fromEntries([['MEDLARSADDLE_HTTP_PORT', '0'], ...Object.entries(env)]),
+			readyIn(line) {
+				if (parts.includes(line.part as Part)) {
+					ports.set(line.part as Part, Number(line.port));
+				}
+
+				return line.ports;
+			},
+		});
+		return new DaemonOnPlatform(child, ports, folder);
+	}
+
+	private constructor(
+		readonly child: Child,
+		private readonly ports: ReadonlyMap<Part, number>,
+		private readonly folder: string,
+	) {}
+
+	/** Port of a part; undefined before the daemon said that it listens there. */
+	portOf(part: Part): number | undefined {
+		return this.ports.get(part);
+	}
+
+	/** Ends it and removes its settings. */
+	async stop(): Promise<void> {
+		await this.child.end();
+		await rm(this.folder, {recursive: true, force: true});
+	}
+}
--- a/packages/testbed/src/upstream/routed-upstream.ts
+++ b/packages/testbed/src/upstream/routed-upstream.ts
@@ -15,8 +15,8 @@
  */
 export class RoutedUpstream {
 	/** Starts one on a free port. */
-	static async start(service: string, id: string): Promise<RoutedUpstream> {
-		const upstream = new RoutedUpstream(service, id);
+	static async start(service: string, id: string, born = 1000): Promise<RoutedUpstream> {
+		const upstream = new RoutedUpstream(service, id, born);
 		upstream.server.listen(0, '127.0.0.1');
 		await once(upstream.server, 'listening');
 		return upstream;
@@ -32,6 +32,8 @@
 	private constructor(
 		private readonly service: string,
 		private readonly id: string,
+		/** Which start of the service on its host it is; later ones are higher. */
+		private readonly born: number,
 	) {
 		this.manner = this.answer;
 		this.server = http.createServer((req, res) => {
@@ -40,6 +42,12 @@
 				return;
 			}
 
+			const expected = req.headers['target-instance'];
+			if (expected !== undefined && expected !== this.id) {
+				res.writeHead(421, {'instance-id': this.id}).end();
+				return;
+			}
+
 			this.manner(req, res);
 		});
 	}
@@ -58,16 +66,20 @@
 	};
 
 	/** Reports itself to the node whose liveness address is given; resolves with the status. */
-	async report(livenessPort: number, state: 'ready' | 'draining' = 'ready'): Promise<number> {
+	async report(
+		livenessPort: number,
+		state: 'ready' | 'draining' = 'ready',
+		address = this.address,
+	): Promise<number> {
 		this.seq++;
 		const reply = await request(`http://127.0.0.1:${livenessPort}/-/instances/${this.id}`, {
 			method: 'PUT',
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify({
-				address: this.address,
+				address,
 				info: {service: this.service, version: 'v1', zone: 'z', slots: 20},
 				status: {state, seq: this.seq, coldLeftMs: 0},
-				born: 1000,
+				born: this.born,
 			}),
 		});
 		await reply.body.dump();
