--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -50,5 +50,7 @@
 	reportOutdated: define('MS2007', 'info', 'liveness report is older than what is known'),
 	requestRejected: define('MS6002', 'warn', 'request was rejected before it was forwarded'),
 	requestEnded: define('MS6001', 'info', 'request ended'),
+	callRefused: define('MS6003', 'info', 'call was refused beside its upstream'),
+	callRepeated: define('MS6004', 'info', 'call is sent to another endpoint'),
 	reportTooLarge: define('MS5001', 'warn', 'counts for the report do not fit their store object'),
 } as const;
--- a/packages/node/src/calls/carrier.ts
+++ b/packages/node/src/calls/carrier.ts
@@ -1,4 +1,4 @@
-import {type Clock, faultKinds} from '@medlarsaddle/core';
+import {type Clock, type Log, events, faultKinds} from '@medlarsaddle/core';
 import type {Allowance, Endpoint, RetryRatio} from '@medlarsaddle/control';
 import type {Member} from '@medlarsaddle/members';
 import {type CallOutcome, type CallRequest, callModes, runStates} from '@medlarsaddle/wire';
@@ -11,6 +11,7 @@
 
 type Opts = {
 	readonly clock: Clock;
+	readonly log: Log;
 	readonly directory: Directory;
 	readonly peers: Peers;
 	readonly slot: Slot;
@@ -46,11 +47,15 @@
 
 	private constructor(private readonly opts: Opts) {}
 
-	/** Sends the call until it has an answer, may not be sent again, or has no endpoint left. */
+	/**
+	 * Sends the call until it has an answer, may not be sent again, or has no endpoint left. Tells the
+	 * node of each endpoint as it is tried.
+	 */
 	async carry(
 		request: CallRequest,
 		allowance: Allowance,
 		signal: AbortSignal,
+		onTried: (node: string) => void = () => {},
 	): Promise<CallOutcome> {
 		const {clock} = this.opts;
 		const endMs = clock.monotonic() + request.remainingMs;
@@ -68,6 +73,7 @@
 			}
 
 			tried.add(endpoint.node);
+			onTried(endpoint.node);
 			const attempt = {...request, remainingMs, allowance: allowance.split()};
 			last = await this.attempt(endpoint, attempt, signal);
 			allowance.giveBack(last.unspent);
@@ -88,9 +94,22 @@
 			}
 
 			this.retries++;
+			this.logRepeated(request, endpoint, last);
 		}
 	}
 
+	private logRepeated({rootId, service}: CallRequest, {node}: Endpoint, last: CallOutcome): void {
+		const {result} = last;
+		this.opts.log(events.callRepeated, {
+			request: rootId,
+			service,
+			endpoint: node,
+			status: result.kind === 'answer' ? result.status : undefined,
+			fault: result.kind === 'refusal' ? result.fault : undefined,
+			run: result.kind === 'refusal' ? result.run : undefined,
+		});
+	}
+
 	private mayRetry(ratio: RetryRatio, allowance: Allowance, tries: number): boolean {
 		if (!this.opts.boundsRetries) {
 			return tries <= unboundedRetries;
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -62,9 +62,10 @@
 		const startMs = clock.monotonic();
 		const {routes} = config.policy;
 		const route = routes?.find(arrival.host, arrival.target);
+		const tried: string[] = [];
 		const outcome = routes
 			? route
-				? await this.carry(arrival, route, signal)
+				? await this.carry(arrival, route, signal, node => tried.push(node))
 				: refusalOf(forwardFaults.noRoute, runStates.notRun, 0)
 			: refusalOf(forwardFaults.notConfigured, runStates.notRun, 0);
 		const elapsedMs = clock.monotonic() - startMs;
@@ -73,6 +74,7 @@
 		log(events.requestEnded, {
 			request: arrival.id,
 			route: route?.name,
+			tried: tried.join(' '),
 			config: config.policy.versionOf('routes'),
 			status: result.kind === 'answer' ? result.status : undefined,
 			fault: result.kind === 'refusal' ? result.fault : undefined,
@@ -84,7 +86,12 @@
 		return outcome;
 	}
 
-	private async carry(arrival: Arrival, route: Route, signal: AbortSignal): Promise<CallOutcome> {
+	private async carry(
+		arrival: Arrival,
+		route: Route,
+		signal: AbortSignal,
+		onTried: (node: string) => void,
+	): Promise<CallOutcome> {
 		const service = this.turnsOf(route).next(route.targets);
 		if (service === undefined) {
 			return refusalOf(callFaults.noEndpoint, runStates.notRun, 0);
@@ -138,7 +145,7 @@
 			idempotent: route.idempotent,
 		};
 		const allowance = Allowance.of(route.attempts - 1);
-		const outcome = await this.opts.carrier.carry(request, allowance, signal);
+		const outcome = await this.opts.carrier.carry(request, allowance, signal, onTried);
 		pressure.learn(job, outcome);
 		return outcome;
 	}
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -37,22 +37,24 @@
 		selector: once(({strategy, clock, random, directory, self}) =>
 			strategy.createSelector({clock, random, directory, dataCentre: self.dataCentre}),
 		),
-		carrier: once(({clock, directory, peers, slot, self, settings, selector, strategy, gossip}) =>
-			Carrier.create({
-				clock,
-				directory,
-				peers,
-				slot,
-				selfId: self.id,
-				selector,
-				createRatio: () =>
-					RetryRatio.create({
-						ratio: settings.retryRatio,
-						maxTokens: Math.max(1, settings.retryBurst / gossip.table.alive.length),
-					}),
-				freeFaults: strategy.freeFaults,
-				boundsRetries: settings.admission === 'on',
-			}),
+		carrier: once(
+			({clock, log, directory, peers, slot, self, settings, selector, strategy, gossip}) =>
+				Carrier.create({
+					clock,
+					log,
+					directory,
+					peers,
+					slot,
+					selfId: self.id,
+					selector,
+					createRatio: () =>
+						RetryRatio.create({
+							ratio: settings.retryRatio,
+							maxTokens: Math.max(1, settings.retryBurst / gossip.table.alive.length),
+						}),
+					freeFaults: strategy.freeFaults,
+					boundsRetries: settings.admission === 'on',
+				}),
 		),
 		owner: once(({clock, ledger, answers, carrier, peers, directory, gossip}) =>
 			Owner.create({clock, ledger, store: answers, carrier, peers, directory, gossip}),
--- a/packages/node/src/upstream/slot.ts
+++ b/packages/node/src/upstream/slot.ts
@@ -274,6 +274,19 @@
 	}
 
 	private refuse(request: CallRequest, fault: Fault): CallOutcome {
+		const admission = this.serving?.admission;
+		this.opts.log(events.callRefused, {
+			request: request.rootId,
+			service: request.service,
+			rank: request.rank,
+			fault: fault.kind,
+			error: fault.what,
+			budgetMs: Math.round(request.remainingMs),
+			limit: admission?.limitValue,
+			running: admission?.inFlight,
+			waiting: admission?.waiting,
+			waitMs: admission && Math.round(admission.waitMs),
+		});
 		return this.outcomes.refused(request, fault, this.serving);
 	}
 }
--- a/packages/testbed/test/routes.test.ts
+++ b/packages/testbed/test/routes.test.ts
@@ -134,6 +134,71 @@
 	assert.equal(ranOn(id), 1);
 });
 
+test('the log tells by its ID where a request was tried, and why it was tried again', async () => {
+	const [first] = hosts;
+	// Retries are a share of the first tries, so there must have been enough of these.
+	await Promise.all(
+		Array.from({length: 40}, async () => sendFirst('/look/earn', {'attempt-id': idOf()})),
+	);
+	const id = idOf();
+	const refused: string[] = [];
+	for (const {upstream} of hosts) {
+		upstream.manner = (req, res) => {
+			if (refused.includes(id)) {
+				upstream.answer(req, res);
+			} else {
+				refused.push(id);
+				res.writeHead(503, {'not-executed': '1'}).end();
+			}
+		};
+	}
+
+	await first!.send('/look/log', {'attempt-id': id});
+	for (const {upstream} of hosts) {
+		upstream.manner = upstream.answer;
+	}
+
+	const lineOf = (code: string) =>
+		first!.daemon.lines.find(({event, request}) => event === code && request === id);
+	await first!.until(() => lineOf('MS6001') !== undefined);
+	const {endpoint, run, fault} = lineOf('MS6004')!;
+	assert.equal(run, 'not-run');
+	assert.equal(fault, 'upstream-refused');
+	assert.equal(lineOf('MS6001')!.tried, endpoint === 'a' ? 'a b' : 'b a');
+});
+
+test('the log of an upstream that is full tells how it stood when it refused a call', async () => {
+	const held: Array<() => void> = [];
+	for (const {upstream} of hosts) {
+		upstream.manner = (req, res) => {
+			held.push(() => {
+				upstream.answer(req, res);
+			});
+		};
+	}
+
+	const ids = Array.from({length: 80}, idOf);
+	const headersOf = (id: string) => ({'attempt-id': id, 'deadline-ms': '500'});
+	await Promise.all(ids.map(async id => sendFirst('/look/full', headersOf(id))));
+	for (const {upstream} of hosts) {
+		upstream.manner = upstream.answer;
+	}
+
+	for (const release of held) {
+		release();
+	}
+
+	const refused = () =>
+		hosts
+			.flatMap(({daemon}) => [...daemon.lines])
+			.find(({event, request}) => event === 'MS6003' && ids.includes(String(request)));
+	await hosts[0]!.until(() => refused() !== undefined);
+	const {service, limit, running, waiting} = refused()!;
+	assert.equal(service, 'pay');
+	assert.equal(running, limit);
+	assert.equal(typeof waiting, 'number');
+});
+
 test('a changed configuration comes into force at every node', async () => {
 	const moved = [...rules, route('new', '/new/', 'idempotent', 'pay')];
 	platform.write('config', 'main', configuration(5, moved));
