--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -6,12 +6,13 @@
 import {datagramTypes} from './datagram-types.js';
 import {Differences} from './differences.js';
 import {gossipTiming} from './gossip-timing.js';
-import {HeldCounts} from './held-counts.js';
+import {HeldReports} from './held-reports.js';
 import {Knowledge} from './knowledge.js';
 import type {Member} from './member.js';
 import {memberStates} from './member-states.js';
 import type {MemberTable} from './member-table.js';
 import {Outbox} from './outbox.js';
+import {PingAnswers} from './ping-answers.js';
 import {Prober} from './prober.js';
 import {Roles} from './roles.js';
 import type {Rumor} from './rumor.js';
@@ -55,12 +56,14 @@
 		return new Gossip(opts);
 	}
 
+	/** Who of the group has which section version in force. */
+	readonly held: HeldReports;
 	private readonly knowledge: Knowledge;
 	private readonly roles: Roles;
 	private readonly outbox: Outbox;
 	private readonly prober: Prober;
 	private readonly differences: Differences;
-	private readonly held = HeldCounts.create();
+	private readonly answers: PingAnswers;
 	private readonly heardMs = new Map<string, number>();
 
 	private constructor(private readonly opts: Opts) {
@@ -72,10 +75,13 @@
 		});
 		this.roles = Roles.create(this.knowledge.table, opts.self.id);
 		this.outbox = Outbox.create({...opts, knowledge: this.knowledge});
+		const {knowledge, roles, outbox} = this;
+		this.held = HeldReports.create({knowledge, roles, outbox});
+		this.answers = PingAnswers.create({random: opts.random, knowledge, outbox});
 		this.prober = Prober.create({
 			...opts,
-			knowledge: this.knowledge,
-			outbox: this.outbox,
+			knowledge,
+			outbox,
 			isGateway: () => this.isGateway,
 			push: () => {
 				this.push();
@@ -155,7 +161,7 @@
 		const isNews = datagram.rumors.map(rumor => this.learn(rumor, sender)).some(Boolean);
 		switch (datagram.type) {
 			case datagramTypes.ping: {
-				this.answer(datagram, from);
+				this.answers.answer(datagram, from);
 				break;
 			}
 
@@ -174,7 +180,7 @@
 			}
 
 			case datagramTypes.held: {
-				this.collect(datagram);
+				this.held.collect(datagram);
 				break;
 			}
 
@@ -197,29 +203,6 @@
 		}
 	};
 
-	/** Tells the member that collects for a section version that it is in force here. */
-	readonly reportHeld = (name: string, version: number): void => {
-		const collector = this.collectorOf(name, version);
-		if (collector.id === this.self.id) {
-			this.held.add(name, version, this.self.id);
-			return;
-		}
-
-		const rumor = {kind: rumorKinds.section, name, version};
-		this.outbox.send(addressOf(collector), datagramTypes.held, [rumor]);
-	};
-
-	/** The member that collects who has a section version in force. */
-	collectorOf(name: string, version: number): Member {
-		return this.roles.holderOf(`held ${name} ${version}`) ?? this.self;
-	}
-
-	/** Members of this group that told this node that they have a section version in force. */
-	countHeld(name: string, version: number): number {
-		const told = this.held.of(name, version);
-		return this.table.alive.filter(({id}) => told.has(id)).length;
-	}
-
 	/** Takes up probing again after this process was paused, with a version that overrides suspicion. */
 	readonly rejoin = (): void => {
 		this.update({state: memberStates.alive});
@@ -248,14 +231,6 @@
 		}
 	}
 
-	private collect({rumors, from}: Datagram): void {
-		for (const rumor of rumors) {
-			if (rumor.kind === rumorKinds.section) {
-				this.held.add(rumor.name, rumor.version, from);
-			}
-		}
-	}
-
 	/** Sends pending news to a few random members without waiting for the next probe. */
 	private push(): void {
 		const others = this.table.alive.filter(({id}) => id !== this.self.id);
@@ -284,38 +259,6 @@
 		}
 	}
 
-	private answer(ping: Datagram, from: Address): void {
-		const isHome = ping.group === this.self.group;
-		const known = isHome ? this.table.get(ping.from) : undefined;
-		const isDown = known && known.state !== memberStates.alive;
-		const rumors = isHome
-			? [
-					...(isDown ? [{kind: rumorKinds.member, member: known} as const] : []),
-					...this.outbox.news(),
-				]
-			: [...this.contactsOffered(), ...this.introduce(ping.group)];
-		if (isHome && !known) {
-			rumors.unshift(this.outbox.ownRumor());
-		}
-
-		this.outbox.send(from, datagramTypes.ack, rumors, {
-			seq: ping.seq,
-			isStranger: isHome && !known,
-		});
-	}
-
-	/** A few members of this group, for one in another to keep as contacts. */
-	private contactsOffered(): Rumor[] {
-		const others = this.table.alive.filter(({id}) => id !== this.self.id);
-		const offered = [this.self, ...pick(others, 2, this.opts.random)];
-		return offered.map(member => ({kind: rumorKinds.contact, member}));
-	}
-
-	/** Members of a group that is not ours, for one of them that may not know the others yet. */
-	private introduce(group: string): Rumor[] {
-		return this.contacts.of(group).map(member => ({kind: rumorKinds.member, member}));
-	}
-
 	private learn(rumor: Rumor, sender: Member | undefined): boolean {
 		if (rumor.kind === rumorKinds.member || rumor.kind === rumorKinds.contact) {
 			return this.knowledge.learn(rumor);
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -187,7 +187,7 @@
 		keyAsk: owner.keyAsk,
 		async count({id, section, version, isForCollector}) {
 			const counts = isForCollector
-				? {held: gossip.countHeld(section, version), members: gossip.table.alive.length}
+				? {held: gossip.held.count(section, version), members: gossip.table.alive.length}
 				: await countHeld(cradle, section, version);
 			return {type: messageTypes.counted, id, ...counts};
 		},
--- a/packages/node/src/root/tree.ts
+++ b/packages/node/src/root/tree.ts
@@ -100,11 +100,11 @@
 	async (signal, ready) => {
 		config.onSection(({name, version}) => {
 			gossip.spread({kind: rumorKinds.section, name, version});
-			gossip.reportHeld(name, version);
+			gossip.held.report(name, version);
 			// Once more, since the first report may be lost.
 			const cancel = clock.after(reportAgainMs, () => {
 				signal.removeEventListener('abort', cancel);
-				gossip.reportHeld(name, version);
+				gossip.held.report(name, version);
 			});
 			signal.addEventListener('abort', cancel);
 			slot.setFloors(floorsOf(config));
