--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -1,7 +1,15 @@
 import {connect} from 'node:net';
 import {once} from 'node:events';
 import {setImmediate} from 'node:timers/promises';
-import {type Clock, type Log, Fault, errorText, events, faultKinds} from '@medlarsaddle/core';
+import {
+	type Clock,
+	type Log,
+	Fault,
+	errorText,
+	events,
+	faultKinds,
+	untilBeat,
+} from '@medlarsaddle/core';
 import type {Member} from '@medlarsaddle/members';
 import type {Task} from '@medlarsaddle/supervise';
 import {
@@ -205,8 +213,9 @@
 	/** Ends when the connection has gone silent while calls wait, or was not used for long. */
 	private async watch(link: Link): Promise<void> {
 		while (link.isOpen) {
-			await this.opts.clock.sleep(watchPeriodMs);
-			const nowMs = this.opts.clock.monotonic();
+			const {clock} = this.opts;
+			await clock.sleep(untilBeat(clock.monotonic(), watchPeriodMs));
+			const nowMs = clock.monotonic();
 			// A link on which nobody waited may have been quiet for long.
 			const quiet = nowMs - Math.max(link.heardMs, this.waitingSinceMs);
 			if (this.waiting.size === 0) {
--- a/packages/node/src/report/metrics.ts
+++ b/packages/node/src/report/metrics.ts
@@ -11,6 +11,9 @@
 
 const latencyBucketsS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
 
+/** How often the delay of the event loop is sampled, in milliseconds. Each sample wakes the process. */
+const loopDelayPeriodMs = 500;
+
 /**
  * Metrics of a node. Labels hold ranks and outcomes only, so that their number stays small.
  *
@@ -22,7 +25,10 @@
 	static create(gauges: Gauges): Metrics {
 		const metrics = new Metrics();
 		const {registry} = metrics;
-		collectDefaultMetrics({register: registry});
+		collectDefaultMetrics({
+			register: registry,
+			eventLoopMonitoringPrecision: loopDelayPeriodMs,
+		});
 		const add = (name: string, help: string, read: () => number) =>
 			new Gauge({
 				name: `medlarsaddle_${name}`,
--- a/packages/node/src/root/keep-lease.ts
+++ b/packages/node/src/root/keep-lease.ts
@@ -1,4 +1,4 @@
-import {type Clock, type Log, events} from '@medlarsaddle/core';
+import {type Clock, type Log, events, untilBeat} from '@medlarsaddle/core';
 import type {Gossip} from '@medlarsaddle/members';
 import type {Task} from '@medlarsaddle/supervise';
 import type {Lifecycle} from './lifecycle.js';
@@ -33,6 +33,6 @@
 				lifecycle.rejoined();
 			}
 
-			await clock.sleep(beatPeriodMs, signal);
+			await clock.sleep(untilBeat(clock.monotonic(), beatPeriodMs), signal);
 		}
 	};
