Leave an upstream time to answer at its deadline, and share its health checks

Cause: a call was aborted at its deadline, when the upstream stops work and answers 504 by itself. A call that may not be retried was also checked for silence at its deadline, with a new connection and a health request each.

Ruled out: the limit of connections and idle times; the pool is used last in, first out.

Change: 50 ms of grace for the answer, within the time that the entry waits; calls that may not be retried are not checked for silence; checks at the same time share one request.

--- a/packages/node/src/upstream/connection-pool.ts
+++ b/packages/node/src/upstream/connection-pool.ts
@@ -37,6 +37,8 @@
 	private settings: PoolSettings;
 	private answerRequiredSinceMs = Number.NEGATIVE_INFINITY;
 	private readonly all = new Set<Connection>();
+	/** Health request that is pending; several callers share it. */
+	private pendingCheck: Promise<boolean> | undefined;
 
 	private constructor(private readonly opts: Opts) {
 		this.settings = opts;
@@ -123,9 +125,15 @@
 
 	/** Whether the upstream answers a health request on a new connection. */
 	async isAnswering(): Promise<boolean> {
+		this.pendingCheck ??= this.checkAnswering();
+		return this.pendingCheck;
+	}
+
+	private async checkAnswering(): Promise<boolean> {
 		const connection = Connection.create({...this.opts, connectTimeoutMs});
 		const isUp = await this.isHealthy(connection);
 		connection.destroy();
+		this.pendingCheck = undefined;
 		return isUp;
 	}
 
--- a/packages/node/src/upstream/silence-detector.ts
+++ b/packages/node/src/upstream/silence-detector.ts
@@ -15,6 +15,12 @@
 
 const silenceTimeoutFactor = 8;
 const minSilenceTimeoutMs = 300;
+/**
+ * Time after its deadline in which a call may still be answered. An upstream stops work at the
+ * deadline and says so; without this time that answer is lost, and with it the connection.
+ */
+const answerGraceMs = 50;
+
 const minOvertakingCalls = 3;
 const maxRecentStarts = 32;
 
@@ -56,7 +62,7 @@
 		const {clock} = this;
 		const silenceTimeoutMs =
 			baselineMs === undefined
-				? call.request.remainingMs
+				? Number.POSITIVE_INFINITY
 				: Math.max(minSilenceTimeoutMs, baselineMs * silenceTimeoutFactor);
 		let hasAborted = false;
 		let stopTimer = () => {};
@@ -66,14 +72,14 @@
 		};
 
 		const scheduleCheck = () => {
-			const leftMs = call.deadlineMs - clock.monotonic();
+			const leftMs = call.deadlineMs + answerGraceMs - clock.monotonic();
 			stopTimer = clock.after(Math.max(1, Math.min(silenceTimeoutMs, leftMs)), () => {
 				void check();
 			});
 		};
 
 		const check = async () => {
-			if (clock.monotonic() >= call.deadlineMs) {
+			if (clock.monotonic() >= call.deadlineMs + answerGraceMs) {
 				abortCall();
 			} else if (call.ownMs >= silenceTimeoutMs && (await this.isSilent(call, pool))) {
 				pool.requireProbes();
--- /dev/null
+++ b/packages/node/test/silence-detector.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '@medlarsaddle/core';
+import type {CallRequest} from '@medlarsaddle/wire';
+import type {ConnectionPool} from '../src/upstream/connection-pool.js';
+import {InFlightCall} from '../src/upstream/in-flight-call.js';
+import {SilenceDetector} from '../src/upstream/silence-detector.js';
+
+const request: CallRequest = {
+	service: 'pay',
+	job: 'PAY',
+	method: 'PUT',
+	path: '/',
+	headers: [],
+	body: new Uint8Array(),
+	rootId: 'a',
+	rank: 0,
+	cohort: 0,
+	remainingMs: 400,
+	allowance: 0,
+	depth: 0,
+	idempotent: false,
+};
+
+const pool = {isAnswering: async () => true, requireProbes() {}} as unknown as ConnectionPool;
+
+const watch = () => {
+	const clock = ManualClock.at(0);
+	const caller = new AbortController();
+	let abortedMs: number | undefined;
+	const {stop, hasAborted} = SilenceDetector.create(clock).watch({
+		call: InFlightCall.open(request, caller.signal, clock),
+		pool,
+		baselineMs: undefined,
+		signal: caller.signal,
+		abort() {
+			abortedMs = clock.monotonic();
+		},
+	});
+	return {caller, clock, hasAborted, stop, abortedMs: () => abortedMs};
+};
+
+// Under overload most calls that are late end at the upstream's own deadline. Closing the connection
+// at the same moment loses its answer and costs a new connection for each of them.
+test('an upstream that stops at the deadline has time to say so', async () => {
+	const {clock, hasAborted, stop} = watch();
+	await clock.advance(420);
+	assert.equal(hasAborted(), false);
+	stop();
+	await clock.advance(1000);
+	assert.equal(hasAborted(), false);
+});
+
+test('a call without an answer is aborted soon after its deadline', async () => {
+	const {abortedMs, clock} = watch();
+	await clock.advance(1000);
+	assert.equal(abortedMs(), 450);
+});
+
+test('a call whose caller leaves is aborted at once', async () => {
+	const {abortedMs, caller, clock} = watch();
+	await clock.advance(100);
+	caller.abort();
+	assert.equal(abortedMs(), 100);
+});
