--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -8,6 +8,8 @@
 import {gossipTiming} from './gossip-timing.js';
 import {RolloutTracker} from './rollout-tracker.js';
 import {Membership} from './membership.js';
+import {isMember} from './is-member.js';
+import {isRumor} from './is-rumor.js';
 import type {Member} from './member.js';
 import {memberStates} from './member-states.js';
 import type {MemberTable} from './member-table.js';
@@ -183,7 +185,10 @@
 	readonly receive = (datagram: Datagram, from: Address): void => {
 		const sender = this.senderOf(datagram);
 		this.lastReceivedMs.set(datagram.group, this.opts.clock.monotonic());
-		const hasNewRumors = datagram.rumors.map(rumor => this.applyRumor(rumor, sender)).some(Boolean);
+		const hasNewRumors = datagram.rumors
+			.filter(rumor => isRumor(rumor))
+			.map(rumor => this.applyRumor(rumor, sender))
+			.some(Boolean);
 		switch (datagram.type) {
 			case datagramTypes.ping: {
 				this.pingResponder.respond(datagram, from);
@@ -222,8 +227,8 @@
 	};
 
 	/** Merges members that were fetched from another node, without spreading them further. */
-	readonly mergeMembers = (members: readonly Member[]): void => {
-		for (const member of members) {
+	readonly mergeMembers = (members: readonly unknown[]): void => {
+		for (const member of members.filter(value => isMember(value))) {
 			this.membership.merge(member);
 		}
 	};
@@ -250,6 +255,7 @@
 		const known = this.table.get(id);
 		const isOutdated = rumors.some(
 			rumor =>
+				isRumor(rumor) &&
 				rumor.kind === rumorKinds.member &&
 				rumor.member.id === id &&
 				known !== undefined &&
--- a/packages/node/src/peers/sync-with.ts
+++ b/packages/node/src/peers/sync-with.ts
@@ -29,7 +29,7 @@
 		return;
 	}
 
-	gossip.mergeMembers(reply.members as Member[]);
+	gossip.mergeMembers(reply.members);
 	for (const section of reply.sections as Section[]) {
 		config.apply(section, member.id);
 	}
