Count an endpoint without a fresh report as a typical one, not as idle

Cause: a report was used for 500 ms and then forgotten, and an endpoint without one counted as idle. With hundreds of hosts each entry sees each endpoint every few seconds, so nearly all count as idle, those known to be idle come last, and placement is close to random over upstreams of unequal speed.

Ruled out: longer validity of reports, which keeps what is wrong.

Change: what is typical of the endpoints of a job is kept (load, wait, time of a call), and a report loses half of its weight in 250 ms towards that. An endpoint that was not seen yet has the typical time.

--- a/packages/control/src/endpoint-view.ts
+++ b/packages/control/src/endpoint-view.ts
@@ -29,8 +29,8 @@
 	readonly heldMs?: number;
 };
 
-/** Older reports no longer describe the queue. */
-const reportValidMs = 500;
+/** Time in which a report of the queue loses half of its weight. */
+const reportHalfLifeMs = 250;
 const holdSmoothingFactor = 0.15;
 
 /** Load above which a call is likely to wait. */
@@ -53,9 +53,21 @@
 const maxEjectionMs = 8000;
 const maxJobs = 200;
 
+/** Weight of one report in what is typical of the endpoints of a job. */
+const typicalSmoothingFactor = 0.1;
+
+type Typical = {
+	load: number;
+	waitMs: number;
+	holdMs: number;
+};
+
 /**
  * This node's view of each endpoint: the load and the wait reported on its answers, the time that
- * its jobs take, and its failures.
+ * its jobs take, and its failures. What a report tells of a queue is soon out of date; then, and for
+ * an endpoint not seen yet, the endpoint counts as a typical one of the job. This handles many
+ * endpoints of which each entry sees each one rarely: if those without a report counted as idle, they
+ * would be chosen before those that are known to be.
  *
  * @example
  * view.noteSent('dc1-a');
@@ -69,6 +81,7 @@
 	}
 
 	private readonly nodes = new Map<string, EndpointState>();
+	private readonly typicalByJob = new Map<string, Typical>();
 
 	private constructor(private readonly clock: Clock) {}
 
@@ -97,6 +110,7 @@
 		state.reportedMs = this.clock.monotonic();
 		state.silentSinceMs = state.reportedMs;
 		state.inFlightAtReport = state.inFlight;
+		this.noteTypical(job, load, waitMs, heldMs);
 		if (heldMs !== undefined && (state.holdMsByJob.has(job) || state.holdMsByJob.size < maxJobs)) {
 			const known = state.holdMsByJob.get(job) ?? heldMs;
 			state.holdMsByJob.set(job, known + (heldMs - known) * holdSmoothingFactor);
@@ -139,15 +153,17 @@
 	 */
 	costMs(node: string, job: string, goalMs: number): number {
 		const state = this.nodes.get(node);
-		if (!state) {
-			return 0;
-		}
-
-		const holdMs = state.holdMsByJob.get(job) ?? 0;
-		const isFresh = this.clock.monotonic() - state.reportedMs < reportValidMs;
-		const sentSinceReport = Math.max(0, state.inFlight - state.inFlightAtReport);
-		const load = (isFresh ? state.load : 0) + sentSinceReport / state.limit;
-		const queueMs = (isFresh ? state.waitMs : 0) + Math.max(0, load - busyLoad) * holdMs;
+		const typical = this.typicalByJob.get(job) ?? nothingTypical;
+		const holdMs = state?.holdMsByJob.get(job) ?? typical.holdMs;
+		const ageMs = state ? this.clock.monotonic() - state.reportedMs : Number.POSITIVE_INFINITY;
+		const freshness = 0.5 ** (ageMs / reportHalfLifeMs);
+		const sentSinceReport = state ? Math.max(0, state.inFlight - state.inFlightAtReport) : 0;
+		const load =
+			typical.load +
+			((state?.load ?? 0) - typical.load) * freshness +
+			sentSinceReport / (state?.limit ?? 1);
+		const waitMs = typical.waitMs + ((state?.waitMs ?? 0) - typical.waitMs) * freshness;
+		const queueMs = waitMs + Math.max(0, load - busyLoad) * holdMs;
 		const riskMs = Math.max(0, holdMs - goalMs * safeGoalShare);
 		return riskMs + holdMs * safeWeight + queueMs;
 	}
@@ -161,6 +177,18 @@
 		}
 	}
 
+	private noteTypical(job: string, load: number, waitMs: number, heldMs: number | undefined): void {
+		// One report says little of the others, so a job starts with idle endpoints.
+		const typical = this.typicalByJob.get(job) ?? {load: 0, waitMs: 0, holdMs: heldMs ?? 0};
+		if (this.typicalByJob.size < maxJobs) {
+			this.typicalByJob.set(job, typical);
+		}
+
+		typical.load += (load - typical.load) * typicalSmoothingFactor;
+		typical.waitMs += (waitMs - typical.waitMs) * typicalSmoothingFactor;
+		typical.holdMs += ((heldMs ?? typical.holdMs) - typical.holdMs) * typicalSmoothingFactor;
+	}
+
 	private isSilent({inFlight, silentSinceMs, holdMsByJob}: EndpointState, nowMs: number): boolean {
 		if (inFlight === 0) {
 			return false;
@@ -193,3 +221,5 @@
 		return fresh;
 	}
 }
+
+const nothingTypical: Typical = {load: 0, waitMs: 0, holdMs: 0};
