Count log lines that a slow reader makes the node drop

Cause: a reader that stops reading made the node drop lines without a trace of it.

Ruled out: a larger buffer, which only moves the moment.

Change: LogOutput counts what it drops, and MS1105 tells the number once a second.

Conclusion: a gap in the log can be seen.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -19,6 +19,7 @@
 		'task failed too often; its supervisor stops',
 	),
 	taskStopTimeout: define('MS1103', 'warn', 'task did not stop in time'),
+	logLinesDropped: define('MS1105', 'warn', 'log lines were dropped'),
 	unexpectedError: define('MS1104', 'error', 'unexpected error outside of any task'),
 	upstreamAnnounced: define('MS2001', 'info', 'upstream announced itself'),
 	upstreamWithdrawn: define('MS2002', 'info', 'upstream withdrew its announcement'),
--- a/packages/daemon/src/bin/medlarsaddled.ts
+++ b/packages/daemon/src/bin/medlarsaddled.ts
@@ -34,6 +34,9 @@
 /** Port of the metrics on the platform, unless the environment sets another one. */
 const platformDefaults = Object.fromEntries([['MEDLARSADDLE_HTTP_PORT', '9464']]);
 
+/** Interval at which dropped log lines are reported. */
+const dropReportMs = 1000;
+
 const args = process.argv.slice(2);
 const clock = createSystemClock();
 const output = LogOutput.create();
@@ -116,6 +119,12 @@
 	});
 	process.on('uncaughtException', guard);
 	process.on('unhandledRejection', guard);
+	setInterval(() => {
+		const count = output.takeDropped();
+		if (count > 0) {
+			log(events.logLinesDropped, {count});
+		}
+	}, dropReportMs).unref();
 	const node = await startNode(log);
 	let isStopping = false;
 	const stop = () => {
--- a/packages/daemon/src/log-output.ts
+++ b/packages/daemon/src/log-output.ts
@@ -9,29 +9,37 @@
 const minWriteBytes = 12 * 1024;
 const flushMs = 250;
 
+const stdoutFd = 1;
+
 /**
- * Log output to standard output, which is buffered and never waits for the reader.
+ * Log output to standard output or another file descriptor, which is buffered and never waits for
+ * the reader. Lines that the buffer cannot take are dropped and counted.
  *
  * @example
  * const output = LogOutput.create();
  * output.write('{"event":"MS1001"}\n');
  */
 export class LogOutput {
-	/** Opens standard output. */
-	static create(): LogOutput {
-		return new LogOutput();
+	/** Opens an output. */
+	static create(fd = stdoutFd): LogOutput {
+		return new LogOutput(fd);
 	}
 
-	private readonly stream = new sonicBoom.SonicBoom({
-		fd: 1,
-		sync: false,
-		minLength: minWriteBytes,
-		maxLength: maxBufferedBytes,
-	});
+	private readonly stream: sonicBoom.SonicBoom;
+	private dropped = 0;
 
-	private constructor() {
+	private constructor(fd: number) {
+		this.stream = new sonicBoom.SonicBoom({
+			fd,
+			sync: false,
+			minLength: minWriteBytes,
+			maxLength: maxBufferedBytes,
+		});
 		// The reader of the log may exit; the node keeps running.
 		this.stream.on('error', () => {});
+		this.stream.on('drop', () => {
+			this.dropped++;
+		});
 		setInterval(() => {
 			this.stream.flush();
 		}, flushMs).unref();
@@ -42,6 +50,13 @@
 		this.stream.write(line);
 	};
 
+	/** Returns how many lines were dropped since the last call. */
+	takeDropped(): number {
+		const {dropped} = this;
+		this.dropped = 0;
+		return dropped;
+	}
+
 	/** Writes the buffered lines synchronously, before the process exits. */
 	flushSync(): void {
 		try {
