--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -1,16 +1,14 @@
-import {type Clock, Fault, errorText, faultKinds} from '@medlarsaddle/core';
-import {ConnectionError, HttpConnection, messageFaults} from '@medlarsaddle/streams';
+import {Fault, errorText, faultKinds} from '@medlarsaddle/core';
+import {
+	ConnectionError,
+	type ConnectionOpts,
+	HttpConnection,
+	type OutgoingRequest,
+	messageFaults,
+} from '@medlarsaddle/streams';
 import {type Result, err, ok} from 'neverthrow';
 import type {Answer} from '@medlarsaddle/wire';
 
-type Opts = {
-	/** URL of the upstream, without a path. */
-	readonly origin: string;
-	readonly clock: Clock;
-	readonly maxBodyBytes: number;
-	readonly connectTimeoutMs: number;
-};
-
 /** How a call failed, and whether any of its bytes may have reached the upstream. */
 type Failure = {
 	readonly fault: Fault;
@@ -27,7 +25,7 @@
  */
 export class Connection {
 	/** Creates a connection that opens with its first call. */
-	static create(opts: Opts): Connection {
+	static create(opts: ConnectionOpts): Connection {
 		return new Connection(HttpConnection.create(opts));
 	}
 
@@ -44,7 +42,7 @@
 	}
 
 	/** Sends a call and reads the complete answer. A truncated answer is a failure. */
-	async send(call: Parameters<HttpConnection['send']>[0]): Promise<Result<Answer, Failure>> {
+	async send(call: OutgoingRequest): Promise<Result<Answer, Failure>> {
 		try {
 			return ok({kind: 'answer', ...(await this.http.send(call))});
 		} catch (error) {
--- a/packages/streams/src/http-client.ts
+++ b/packages/streams/src/http-client.ts
@@ -1,22 +1,14 @@
-import type {Clock} from '@medlarsaddle/core';
+import type {ConnectionOpts} from './connection-opts.js';
 import {HttpConnection} from './http-connection.js';
 import type {HttpResponse} from './http-response.js';
+import type {OutgoingRequest} from './outgoing-request.js';
 
-type Opts = {
-	/** URL of the server, without a path. */
-	readonly origin: string;
-	readonly clock: Clock;
-	readonly maxBodyBytes: number;
-	readonly connectTimeoutMs: number;
+type Opts = ConnectionOpts & {
 	/** Requests at a time; further ones wait. */
 	readonly maxConnections: number;
 };
 
-type Request = {
-	readonly method: string;
-	readonly path: string;
-	readonly headers: readonly string[];
-	readonly body: Uint8Array;
+type Request = OutgoingRequest & {
 	/** Aborts the request; its connection is closed. */
 	readonly signal: AbortSignal;
 };
--- a/packages/streams/src/http-connection.ts
+++ b/packages/streams/src/http-connection.ts
@@ -1,27 +1,13 @@
 import {type Socket, connect} from 'node:net';
-import type {Clock} from '@medlarsaddle/core';
 import {ByteReader} from './byte-reader.js';
 import {ConnectionError} from './connection-error.js';
+import type {ConnectionOpts} from './connection-opts.js';
 import {formatMessage} from './format-message.js';
 import {headerOf} from './header-of.js';
 import type {HttpResponse} from './http-response.js';
+import type {OutgoingRequest} from './outgoing-request.js';
 import {readResponse} from './read-response.js';
 
-type Opts = {
-	/** URL of the server, without a path. */
-	readonly origin: string;
-	readonly clock: Clock;
-	readonly maxBodyBytes: number;
-	readonly connectTimeoutMs: number;
-};
-
-type Request = {
-	readonly method: string;
-	readonly path: string;
-	readonly headers: readonly string[];
-	readonly body: Uint8Array;
-};
-
 const maxHeadBytes = 64 * 1024;
 
 /** How long before the end of the idle time that the server states a connection is given up. */
@@ -35,7 +21,7 @@
  */
 export class HttpConnection {
 	/** Creates a connection that opens with its first request. */
-	static create(opts: Opts): HttpConnection {
+	static create(opts: ConnectionOpts): HttpConnection {
 		return new HttpConnection(opts);
 	}
 
@@ -48,7 +34,7 @@
 	private isAborted = false;
 	private usableUntilMs = Number.POSITIVE_INFINITY;
 
-	private constructor(private readonly opts: Opts) {}
+	private constructor(private readonly opts: ConnectionOpts) {}
 
 	/** Whether another request can be sent on the connection. */
 	get isUsable(): boolean {
@@ -60,7 +46,7 @@
 	 *
 	 * @throws ConnectionError when there is none, or it is truncated or malformed.
 	 */
-	async send({method, path, headers, body}: Request): Promise<HttpResponse> {
+	async send({method, path, headers, body}: OutgoingRequest): Promise<HttpResponse> {
 		this.isSending = true;
 		let isSent = false;
 		try {
@@ -154,7 +140,10 @@
 /** Methods whose requests have no length when they have no body. */
 const bodilessMethods = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE']);
 
-const connected = async (socket: Socket, {clock, connectTimeoutMs}: Opts): Promise<void> =>
+const connected = async (
+	socket: Socket,
+	{clock, connectTimeoutMs}: ConnectionOpts,
+): Promise<void> =>
 	new Promise((resolve, reject) => {
 		const cancel = clock.after(connectTimeoutMs, () => {
 			socket.destroy(new Error('the connection could not be opened in time'));
--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -1,5 +1,7 @@
+export type {ConnectionOpts} from './connection-opts.js';
 export type {HttpRequest} from './http-request.js';
 export type {HttpResponse} from './http-response.js';
+export type {OutgoingRequest} from './outgoing-request.js';
 export type {RequestLimits} from './request-limits.js';
 export {ByteReader} from './byte-reader.js';
 export {MessageError} from './message-error.js';
