Build without bytecode when the warm-up fails

Cause: the build starts two nodes to save the bytecode of what they run; where that fails, such as on a very slow machine, the whole build failed, though the script runs without bytecode.

Change: the build says so and goes on; deployed.test.ts still fails without bytecode.

Conclusion: a deployment doesn't depend on the warm-up.

--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -26,4 +26,9 @@
 });
 await rm(path.join(folder, 'medlarsaddled.bytecode'), {force: true});
 await copyFile('tools/loader.cjs', loader);
-await keepBytecode(folder, loader, flags);
+try {
+	await keepBytecode(folder, loader, flags);
+} catch (error) {
+	// The script runs without it; a test of the deployed script fails.
+	console.error(`No bytecode was saved, so each start takes longer: ${error.message}`);
+}
