--- a/packages/node/src/root/job-strategy.ts
+++ b/packages/node/src/root/job-strategy.ts
@@ -18,8 +18,8 @@
 			maxLimit: connections,
 			isEnabled,
 		}),
-	// These refusals result from an outdated list of endpoints.
-	freeRetryFaults: new Set([faultKinds.draining, faultKinds.noEndpoint]),
+	// These refusals result from an outdated list of endpoints, and no upstream has seen the call.
+	freeRetryFaults: new Set([faultKinds.draining, faultKinds.noEndpoint, faultKinds.unreachable]),
 	// Two processes with one ID would both issue idempotency keys.
 	keepsNodeId: false,
 	sectionFetchDelayMs: 0,
--- a/packages/testbed/src/bin/upstream.ts
+++ b/packages/testbed/src/bin/upstream.ts
@@ -29,7 +29,7 @@
 const upstream = await Upstream.start({...options, crash});
 const control = fastify();
 control.post('/faults', async ({body}) => {
-	upstream.setFaults(upstreamFaults.parse(body));
+	await upstream.setFaults(upstreamFaults.parse(body));
 	return {};
 });
 control.post('/crash', async () => {
--- a/packages/testbed/src/upstream/upstream.ts
+++ b/packages/testbed/src/upstream/upstream.ts
@@ -89,8 +89,11 @@
 		return [...this.runs].filter(([_id, count]) => count > 1).map(([id]) => id);
 	}
 
-	/** Replaces the faults; those not given are off. */
-	setFaults(faults: Partial<Faults>): void {
+	/**
+	 * Replaces the faults; those not given are off. Resolves once the node has been told of the state
+	 * that they make the upstream announce.
+	 */
+	async setFaults(faults: Partial<Faults>): Promise<void> {
 		this.faults = upstreamFaults.parse(faults);
 		if (this.faults.silencesConnections) {
 			for (const socket of this.sockets) {
@@ -98,7 +101,7 @@
 			}
 		}
 
-		void this.announce();
+		await this.announce();
 	}
 
 	/** Closes every connection and the port at once, as a crash does. */
