--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -43,6 +43,7 @@
 	peerConnected: define('MS3101', 'debug', 'peer link opened'),
 	peerDisconnected: define('MS3102', 'info', 'peer link closed'),
 	peerProtocolError: define('MS3103', 'warn', 'peer sent bytes that are not a message'),
+	syncFailed: define('MS3104', 'warn', 'state of another member could not be fetched'),
 	policyInForce: define('MS4001', 'info', 'policy section is in force'),
 	policyRejected: define('MS4002', 'warn', 'policy section from the store could not be read'),
 	storeUnavailable: define('MS4003', 'warn', 'platform store does not answer'),
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -130,6 +130,11 @@
 		return this.roles.hasRole(role, count);
 	}
 
+	/** Whether this node is one of the `count` members of its data centre with a role at the store. */
+	hasStoreRole(role: string, count: number): boolean {
+		return this.roles.hasStoreRole(role, count);
+	}
+
 	/** Milliseconds since the last datagram from a group; -1 when there was none. */
 	sinceLastReceivedMs(group: string): number {
 		const receivedMs = this.lastReceivedMs.get(group);
@@ -137,7 +142,9 @@
 	}
 
 	/** Changes this node's own record and pushes the change to other members. */
-	readonly updateSelf = (change: Partial<Pick<Member, 'inherits' | 'offers' | 'state'>>): void => {
+	readonly updateSelf = (
+		change: Partial<Pick<Member, 'hasLostStore' | 'inherits' | 'offers' | 'state'>>,
+	): void => {
 		this.membership.updateSelf(change);
 		this.spread(this.datagramSender.selfRumor());
 	};
--- a/packages/members/src/member.ts
+++ b/packages/members/src/member.ts
@@ -20,6 +20,8 @@
 	readonly version: number;
 	readonly state: (typeof memberStates)[keyof typeof memberStates];
 	readonly offers: readonly OfferedService[];
+	/** Whether the platform's store does not answer this member. */
+	readonly hasLostStore?: boolean;
 	/** Processes that issued idempotency keys and handed them over to this member. */
 	readonly inherits?: readonly string[];
 };
--- a/packages/members/src/roles.ts
+++ b/packages/members/src/roles.ts
@@ -1,5 +1,6 @@
 import {rendezvous} from '@medlarsaddle/core';
 import type {Member} from './member.js';
+import {memberStates} from './member-states.js';
 import type {MemberTable} from './member-table.js';
 
 /**
@@ -27,28 +28,50 @@
 
 	/** Whether this node is one of the `count` members that have a role. */
 	hasRole(role: string, count: number): boolean {
-		// Cached, since it is queried for each message and changes only with the list of members.
+		return this.cached(role, () => rendezvous(role, this.ids, count).includes(this.selfId));
+	}
+
+	/**
+	 * Whether this node is one of the `count` members of its data centre that have a role at the
+	 * platform's store. Members that are suspect or have lost the store are passed over while others
+	 * remain.
+	 */
+	hasStoreRole(role: string, count: number): boolean {
+		return this.cached(`store ${role}`, () => {
+			const dataCentre = this.table.get(this.selfId)?.dataCentre;
+			const local = this.table.alive.filter(member => member.dataCentre === dataCentre);
+			const able = local.filter(
+				({state, hasLostStore}) => state === memberStates.alive && !hasLostStore,
+			);
+			const candidates = able.length > 0 ? able : local;
+			const ids = candidates.map(({id}) => id);
+			return rendezvous(role, ids, count).includes(this.selfId);
+		});
+	}
+
+	/** The holder of a role that exactly one member has. */
+	holderOf(role: string): Member | undefined {
+		const [id] = rendezvous(role, this.ids, 1);
+		return id === undefined ? undefined : this.table.get(id);
+	}
+
+	/** Cached, since roles are queried for each message and change only with the list of members. */
+	private cached(key: string, compute: () => boolean): boolean {
 		if (this.cachedMembers !== this.table.alive) {
 			this.cachedMembers = this.table.alive;
 			this.cache.clear();
 		}
 
-		const cached = this.cache.get(role);
-		if (cached !== undefined) {
-			return cached;
+		const known = this.cache.get(key);
+		if (known !== undefined) {
+			return known;
 		}
 
-		const hasRole = rendezvous(role, this.ids, count).includes(this.selfId);
-		this.cache.set(role, hasRole);
+		const hasRole = compute();
+		this.cache.set(key, hasRole);
 		return hasRole;
 	}
 
-	/** The holder of a role that exactly one member has. */
-	holderOf(role: string): Member | undefined {
-		const [id] = rendezvous(role, this.ids, 1);
-		return id === undefined ? undefined : this.table.get(id);
-	}
-
 	private get ids(): string[] {
 		return this.table.alive.map(({id}) => id);
 	}
--- a/packages/node/src/root/core-of.ts
+++ b/packages/node/src/root/core-of.ts
@@ -39,6 +39,12 @@
 		},
 		join: gossip.join,
 		hasRole: (role, count) => gossip.hasRole(role, count),
+		hasStoreRole: (role, count) => gossip.hasStoreRole(role, count),
+		announceStoreLost(isLost) {
+			if ((gossip.self.hasLostStore ?? false) !== isLost) {
+				gossip.updateSelf({hasLostStore: isLost});
+			}
+		},
 		isReady: () => lifecycle.isReady,
 		drainingFault: () => lifecycle.drainingFault(),
 		countStoreCall(kind) {
--- a/packages/node/src/root/job-strategy.ts
+++ b/packages/node/src/root/job-strategy.ts
@@ -22,5 +22,4 @@
 	freeRetryFaults: new Set([faultKinds.draining, faultKinds.noEndpoint, faultKinds.unreachable]),
 	// Two processes with one ID would both issue idempotency keys.
 	keepsNodeId: false,
-	sectionFetchDelayMs: 0,
 };
--- a/packages/node/src/root/node-core.ts
+++ b/packages/node/src/root/node-core.ts
@@ -42,6 +42,13 @@
 	readonly join: (addresses: readonly Address[]) => void;
 	/** Whether this node is one of the `count` members that have a role. */
 	readonly hasRole: (role: string, count: number) => boolean;
+	/**
+	 * Whether this node is one of the `count` members of its data centre that have a role at the
+	 * platform's store; members that have lost the store are passed over.
+	 */
+	readonly hasStoreRole: (role: string, count: number) => boolean;
+	/** Tells the other members whether the platform's store answers this node. */
+	readonly announceStoreLost: (isLost: boolean) => void;
 	/** Whether callers should send requests to this node. */
 	readonly isReady: () => boolean;
 	/** Fault with which new work is refused; undefined while it is accepted. */
--- a/packages/node/src/root/register-control-plane.ts
+++ b/packages/node/src/root/register-control-plane.ts
@@ -1,5 +1,5 @@
 import {type AwilixContainer, asFunction} from 'awilix';
-import {events} from '@medlarsaddle/core';
+import {errorText, events} from '@medlarsaddle/core';
 import {KeyLedger, Quarantine} from '@medlarsaddle/control';
 import {Gossip, gossipTiming, rumorKinds} from '@medlarsaddle/members';
 import {Supervisor} from '@medlarsaddle/supervise';
@@ -9,6 +9,7 @@
 import {StoreHealth} from '../config/store-health.js';
 import {applySuspectRumor} from '../peers/apply-suspect-rumor.js';
 import {Peers} from '../peers/peers.js';
+import {SectionFetcher} from '../peers/section-fetcher.js';
 import {syncWith} from '../peers/sync-with.js';
 import type {Cradle} from './cradle.js';
 import {Lifecycle} from './lifecycle.js';
@@ -68,9 +69,12 @@
 const createGossip = (cradle: Cradle): Gossip => {
 	const {clock, random, log, self, settings, datagrams, config, metrics, directory, strategy} =
 		cradle;
-	const fetchFrom = (member: Parameters<typeof syncWith>[1]) => {
-		void syncWith(cradle, member).catch(() => {});
-	};
+	const fetcher = SectionFetcher.create({
+		clock,
+		dataCentre: self.dataCentre,
+		versionOf: name => config.policy.versionOf(name),
+		fetchFrom: async member => syncWith(cradle, member),
+	});
 
 	let isClosed = false;
 	datagrams.once('close', () => {
@@ -104,18 +108,17 @@
 
 			// The rumor is passed on only once this node holds the section, so that a node that receives
 			// the rumor can fetch the section here.
-			const isNewer = () => rumor.version > config.policy.versionOf(rumor.name);
-			if (from && isNewer()) {
-				clock.after(strategy.sectionFetchDelayMs, () => {
-					if (isNewer()) {
-						fetchFrom(from);
-					}
-				});
+			if (from) {
+				fetcher.noteAnnounced(rumor.name, rumor.version, from);
 			}
 
 			return false;
 		},
-		onDivergence: fetchFrom,
+		onDivergence(member) {
+			syncWith(cradle, member).catch((error: unknown) => {
+				log(events.syncFailed, {peer: member.id, error: errorText(error)});
+			});
+		},
 		onMembersChanged() {
 			directory.invalidate();
 			cradle.selector.retainOnly(directory.nodes);
--- a/packages/node/src/root/route-strategy.ts
+++ b/packages/node/src/root/route-strategy.ts
@@ -30,7 +30,4 @@
 	// The platform runs one process on each host, so a later incarnation is that of an earlier
 	// process whose clock was ahead.
 	keepsNodeId: true,
-	// In this time most nodes read the section from the store, which costs less than traffic between
-	// data centres.
-	sectionFetchDelayMs: 300,
 };
--- a/packages/node/src/root/strategy.ts
+++ b/packages/node/src/root/strategy.ts
@@ -32,9 +32,4 @@
 	readonly freeRetryFaults: ReadonlySet<string>;
 	/** Whether a process that learns of a later one with its ID keeps the ID instead of draining. */
 	readonly keepsNodeId: boolean;
-	/**
-	 * How long a section that a rumor names may take to arrive from the store before this node
-	 * fetches it from another node, in milliseconds.
-	 */
-	readonly sectionFetchDelayMs: number;
 };
--- a/packages/testbed/src/deploy/child.ts
+++ b/packages/testbed/src/deploy/child.ts
@@ -5,6 +5,8 @@
 type Opts = {
 	readonly script: string;
 	readonly args: readonly string[];
+	/** Flags of Node.js. */
+	readonly flags?: readonly string[];
 	/** Environment variables added to those of this process. */
 	readonly env?: Readonly<Record<string, string>>;
 	/** Returns the value of the line that reports readiness, undefined for any other line. */
@@ -31,8 +33,8 @@
  */
 export class Child {
 	/** Starts a script and waits until it is ready. */
-	static async start({script, args, env = {}, parseReadyLine}: Opts): Promise<Child> {
-		const child = spawn(process.execPath, [script, ...args], {
+	static async start({script, args, flags = [], env = {}, parseReadyLine}: Opts): Promise<Child> {
+		const child = spawn(process.execPath, [...flags, script, ...args], {
 			stdio: ['ignore', 'pipe', 'inherit'],
 			env: {...process.env, ...env},
 		});
--- a/packages/testbed/src/harness/daemon-on-platform.ts
+++ b/packages/testbed/src/harness/daemon-on-platform.ts
@@ -15,6 +15,8 @@
 	/** Address of its upstream, as IP:PORT. */
 	readonly upstreamAddress: string;
 	readonly storeUrl: string;
+	/** Program of the daemon, and the flags of Node.js; those of this project by default. */
+	readonly daemon?: {readonly script: string; readonly flags: readonly string[]};
 	/** Additional settings, as environment variables. */
 	readonly env?: Readonly<Record<string, string>>;
 };
@@ -40,6 +42,7 @@
 		service,
 		upstreamAddress,
 		storeUrl,
+		daemon = {script: programs.daemon, flags: []},
 		env = {},
 	}: Opts): Promise<DaemonOnPlatform> {
 		const folder = await mkdtemp(path.join(os.tmpdir(), 'medlarsaddle-'));
@@ -60,7 +63,7 @@
 		await writeFile(file, JSON.stringify(settings));
 		const ports = new Map<Part, number>();
 		const child = await Child.start({
-			script: programs.daemon,
+			...daemon,
 			args: ['--platform', file],
 			env: Object.fromEntries([['MEDLARSADDLE_HTTP_PORT', '0'], ...Object.entries(env)]),
 			parseReadyLine(line) {
--- a/packages/testbed/src/harness/routed-host.ts
+++ b/packages/testbed/src/harness/routed-host.ts
@@ -8,6 +8,8 @@
 	readonly dataCentre: string;
 	readonly service: string;
 	readonly storeUrl: string;
+	/** Program of the daemon; that of this project by default. */
+	readonly daemon?: {readonly script: string; readonly flags: readonly string[]};
 };
 
 type Answer = {
@@ -28,7 +30,13 @@
  */
 export class RoutedHost {
 	/** Starts the daemon and the upstream, which has not reported itself yet. */
-	static async start({id, dataCentre, service, storeUrl}: Opts): Promise<RoutedHost> {
+	static async start({
+		id,
+		dataCentre,
+		service,
+		storeUrl,
+		daemon: program,
+	}: Opts): Promise<RoutedHost> {
 		const upstream = await RoutedUpstream.start(service, `i-${id}`);
 		const daemon = await DaemonOnPlatform.start({
 			id,
@@ -36,6 +44,7 @@
 			service,
 			upstreamAddress: upstream.address,
 			storeUrl,
+			...(program ? {daemon: program} : {}),
 		});
 		return new RoutedHost(daemon, upstream);
 	}
--- /dev/null
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -0,0 +1,185 @@
+import {Fault, type ManualClock, createRandom, faultKinds, hash32} from '@medlarsaddle/core';
+import type {NodeCore} from '@medlarsaddle/node';
+import {type StoreClient, discoverMembers, followConfiguration} from '@medlarsaddle/platform';
+import {err, ok} from 'neverthrow';
+import {ObjectTable} from '../platform/object-table.js';
+import {GossipNetwork} from './gossip-network.js';
+
+type Opts = {
+	readonly seed: number;
+	readonly dataCentres: number;
+	readonly hosts: number;
+};
+
+type StoreMember = ReturnType<GossipNetwork['add']>;
+type Spec = {readonly name: string; readonly spec: unknown};
+
+const callMs = 5;
+const watchPollMs = 50;
+
+/**
+ * Many nodes that use the platform's store, on a manual clock: the real tasks of discovery and of the
+ * configuration, over simulated gossip and a store that counts its calls by kind and can turn hosts
+ * away or fall silent to them.
+ *
+ * @example
+ * const fleet = StoreFleet.start({seed: 1, dataCentres: 5, hosts: 60});
+ * await fleet.clock.advance(10_000);
+ */
+export class StoreFleet {
+	/** Starts all hosts at once, as for the first time. */
+	static start(opts: Opts): StoreFleet {
+		const fleet = new StoreFleet(opts);
+		for (let index = 0; index < opts.hosts; index++) {
+			fleet.add(`dc${(index % opts.dataCentres) + 1}`, true);
+		}
+
+		return fleet;
+	}
+
+	readonly network: GossipNetwork;
+	/** Calls since the start, by kind. */
+	readonly calls = new Map<string, number>();
+	/** Hosts that the store turns away. */
+	readonly turnedAway = new Set<string>();
+	/** Hosts whose watches never report anything, as on a connection that has silently failed. */
+	readonly silent = new Set<string>();
+	private readonly objects = ObjectTable.create();
+	private version = 0;
+
+	private constructor(private readonly opts: Opts) {
+		this.network = GossipNetwork.create({seed: opts.seed, groupOf: () => 'r'});
+		this.configure();
+	}
+
+	/** Clock of all hosts. */
+	get clock(): ManualClock {
+		return this.network.clock;
+	}
+
+	/** Price of the calls so far, where a stale read counts a tenth. */
+	get price(): number {
+		return [...this.calls].reduce(
+			(sum, [kind, count]) => sum + (kind === 'list-stale' ? count / 10 : count),
+			0,
+		);
+	}
+
+	/** Share of the hosts that have the latest configuration in force. */
+	get shareInForce(): number {
+		const {members} = this.network;
+		const current = members.filter(({versions}) => versions.get('routes') === this.version);
+		return current.length / members.length;
+	}
+
+	/** Writes the next version of the configuration, as the operator does. */
+	configure(): void {
+		this.version++;
+		const spec = {
+			version: this.version,
+			limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+			listeners: [],
+			clusters: [],
+		};
+		const known = this.objects.get('config', 'main');
+		if (known) {
+			this.objects.edit('config', known, {spec});
+		} else {
+			this.objects.add('config', 'main', {spec});
+		}
+	}
+
+	/** Adds a host without seeds. */
+	add(dataCentre: string, isFirstStart = false): StoreMember {
+		const {clock} = this.network;
+		const member = this.network.add(dataCentre, undefined, []);
+		const {gossip, versions, port} = member;
+		const core = {
+			clock,
+			random: createRandom(hash32(`${this.opts.seed} ${port}`)),
+			log() {},
+			self: () => gossip.self,
+			members: () => gossip.table.alive,
+			routes: () => (versions.has('routes') ? {} : undefined),
+			hasStoreRole: (role: string, count: number) => gossip.hasStoreRole(role, count),
+			announceStoreLost(hasLostStore: boolean) {
+				gossip.updateSelf({hasLostStore});
+			},
+			join: gossip.join,
+			onSection(listener: () => void, signal: AbortSignal) {
+				member.listeners.add(listener);
+				signal.addEventListener('abort', () => member.listeners.delete(listener));
+			},
+			applySection: ({version}: {version: number}) => {
+				this.network.put(member, 'routes', version);
+				return true;
+			},
+		} as unknown as NodeCore;
+		const store = this.storeFor(gossip.self.id);
+		const {signal} = new AbortController();
+		void discoverMembers({core, store, isFirstStart})(signal, () => {});
+		void followConfiguration({core, store, isFirstStart})(signal, () => {});
+		return member;
+	}
+
+	private storeFor(id: string): StoreClient {
+		const call = async <Value>(kind: string, answer: () => Value) => {
+			this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
+			await this.clock.sleep(callMs);
+			return this.turnedAway.has(id) ? err(turnedAwayFault) : ok(answer());
+		};
+
+		const listOf = (kind: string) => ({
+			objects: this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec})),
+			revision: this.objects.storeRevision,
+		});
+		return {
+			list: async (kind: string, _signal: AbortSignal, opts?: {isStaleAllowed?: boolean}) =>
+				call(opts?.isStaleAllowed ? 'list-stale' : 'list', () => listOf(kind)),
+			create: async (kind: string, {name, spec}: Spec) =>
+				call('create', () => this.objects.add(kind, name, {spec})),
+			replace: async (kind: string, {name, spec}: Spec) =>
+				call('replace', () => this.objects.edit(kind, this.objects.get(kind, name)!, {spec})),
+			remove: async (kind: string, name: string) =>
+				call('remove', () => this.objects.remove(kind, this.objects.get(kind, name)!)),
+			watch: async (kind: string, revision: number, waitMs: number, signal: AbortSignal) =>
+				this.watch(id, {kind, revision, waitMs, signal}),
+		} as unknown as StoreClient;
+	}
+
+	private async watch(
+		id: string,
+		{
+			kind,
+			revision,
+			waitMs,
+			signal,
+		}: {kind: string; revision: number; waitMs: number; signal: AbortSignal},
+	) {
+		this.calls.set('watch', (this.calls.get('watch') ?? 0) + 1);
+		const endMs = this.clock.monotonic() + waitMs;
+		const hasChanged = () => (this.objects.changesAfter(kind, revision) ?? []).length > 0;
+		while (this.clock.monotonic() < endMs && !signal.aborted) {
+			if (this.turnedAway.has(id)) {
+				return err(turnedAwayFault);
+			}
+
+			if (hasChanged() && !this.silent.has(id)) {
+				break;
+			}
+
+			await this.clock.sleep(watchPollMs);
+		}
+
+		if (this.silent.has(id)) {
+			return err(turnedAwayFault);
+		}
+
+		const objects = hasChanged()
+			? this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec}))
+			: [];
+		return ok({objects, revision: this.objects.storeRevision});
+	}
+}
+
+const turnedAwayFault = Fault.of(faultKinds.storeUnavailable, 'turned away', 'wait');
