--- a/packages/node/src/root/cradle.ts
+++ b/packages/node/src/root/cradle.ts
@@ -83,4 +83,6 @@
 	readonly callerApp: FastifyInstance;
 	readonly upstreamApp: FastifyInstance;
 	readonly operatorServer: GrpcServer;
+	/** Listens for operators and returns the port. */
+	readonly listenForOperators: () => Promise<number>;
 };
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -1,7 +1,4 @@
 import {randomBytes, randomInt} from 'node:crypto';
-import type {AddressInfo} from 'node:net';
-import {promisify} from 'node:util';
-import {ServerCredentials} from '@grpc/grpc-js';
 import type {Endpoint} from '@medlarsaddle/control';
 import {type Clock, type Log, createRandom, events} from '@medlarsaddle/core';
 import {type Member, memberStates} from '@medlarsaddle/members';
@@ -17,6 +14,7 @@
 import {coreOf} from './core-of.js';
 import type {Cradle} from './cradle.js';
 import {jobStrategy} from './job-strategy.js';
+import {listen} from './listen.js';
 import type {NodeCore} from './node-core.js';
 import {registerCalls} from './register-calls.js';
 import {registerControlPlane} from './register-control-plane.js';
@@ -44,12 +42,7 @@
 	readonly attach?: (core: NodeCore) => readonly Child[];
 };
 
-type Ports = {
-	readonly http: number;
-	readonly upstream: number;
-	readonly peer: number;
-	readonly operator: number;
-};
+type Ports = Awaited<ReturnType<typeof listen>> & {readonly peer: number};
 
 const drainPollMs = 20;
 const drainAnnouncementMs = 400;
@@ -108,9 +101,13 @@
 		registerReport(container);
 		registerServers(container);
 		const {cradle} = container;
-		const ports = attach
-			? await listenForCallers(cradle, peerPort)
-			: await listenAll(cradle, peerPort);
+		if (!attach) {
+			// Only a node that serves operators loads what that takes.
+			const {registerOperators} = await import('./register-operators.js');
+			registerOperators(container);
+		}
+
+		const ports = {...(await listen(cradle, attach === undefined)), peer: peerPort};
 		const abort = new AbortController();
 		const node = new Node(cradle, ports, abort, attach);
 		await node.startTree();
@@ -225,28 +222,3 @@
 		this.cradle.log(events.nodeReady, {ports: this.ports});
 	}
 }
-
-/** Listens for callers, health checks and metrics only. */
-const listenForCallers = async ({settings, callerApp}: Cradle, peer: number): Promise<Ports> => {
-	await callerApp.listen({host: settings.host, port: settings.httpPort});
-	const {port} = callerApp.server.address() as AddressInfo;
-	return {http: port, peer, upstream: 0, operator: 0};
-};
-
-const listenAll = async (cradle: Cradle, peer: number): Promise<Ports> => {
-	const {settings, callerApp, upstreamApp, operatorServer} = cradle;
-	const {host} = settings;
-	await callerApp.listen({host, port: settings.httpPort});
-	await upstreamApp.listen({host, port: settings.upstreamPort});
-	const bind = promisify(operatorServer.bindAsync.bind(operatorServer));
-	const operator = await bind(
-		`${host}:${settings.operatorPort}`,
-		ServerCredentials.createInsecure(),
-	);
-	return {
-		http: (callerApp.server.address() as AddressInfo).port,
-		upstream: (upstreamApp.server.address() as AddressInfo).port,
-		peer,
-		operator,
-	};
-};
--- a/tools/loader.cjs
+++ b/tools/loader.cjs
@@ -18,8 +18,10 @@
 const bundled = {exports: {}};
 script.runInThisContext()(bundled.exports, createRequire(bundle), bundled, bundle, __dirname);
 
-// The build sends a message to save the bytecode of all functions that have run so far.
-process.once('message', () => {
-	fs.writeFileSync(kept, script.createCachedData());
-	process.exit();
-});
+// The build sends a signal to save the bytecode of all functions that have run so far.
+if (process.env.MEDLARSADDLE_KEEP_BYTECODE) {
+	process.once('SIGUSR2', () => {
+		fs.writeFileSync(kept, script.createCachedData());
+		process.exit();
+	});
+}
