--- a/packages/control/src/call-rates.ts
+++ b/packages/control/src/call-rates.ts
@@ -24,6 +24,9 @@
 const fitIterations = 30;
 const maxNames = 16;
 
+/** A fit changes little from one window to the next. */
+const windowsPerFit = 5;
+
 /** A lower number of calls for each request counts as noise. */
 const minCallsPerRequest = 0.05;
 
@@ -49,6 +52,7 @@
 	private readonly targets = new Set<string>();
 	/** Fitted calls for each millisecond of a job's running time, by target, then by job. */
 	private ratesByTarget = new Map<string, Map<string, number>>();
+	private windowsSinceFit = 0;
 
 	private constructor(private readonly clock: Clock) {}
 
@@ -119,7 +123,7 @@
 		}
 
 		this.callsByTarget.clear();
-		this.ratesByTarget = new Map([...this.targets].map(target => [target, this.fit(target)]));
+		this.windowsSinceFit++;
 	}
 
 	/** Calls that one request of a job makes, by target. */
@@ -130,6 +134,7 @@
 			return calls;
 		}
 
+		this.fitWhenDue();
 		const meanRunMs = job.totalRunMs / job.starts;
 		for (const [target, rates] of this.ratesByTarget) {
 			const count = (rates.get(name) ?? 0) * meanRunMs;
@@ -141,6 +146,13 @@
 		return calls;
 	}
 
+	private fitWhenDue(): void {
+		if (this.windowsSinceFit >= windowsPerFit || this.ratesByTarget.size < this.targets.size) {
+			this.windowsSinceFit = 0;
+			this.ratesByTarget = new Map([...this.targets].map(target => [target, this.fit(target)]));
+		}
+	}
+
 	private updateRunTime(job: Job): void {
 		const nowMs = this.clock.monotonic();
 		job.windowRunMs += job.running * (nowMs - job.updatedMs);
--- a/packages/control/src/choose-near.ts
+++ b/packages/control/src/choose-near.ts
@@ -49,14 +49,18 @@
 	dataCentre,
 	isUnreachable,
 }: Opts): Endpoint | undefined => {
-	const untried = endpoints.filter(({node}) => !tried.has(node));
+	const untried = tried.size === 0 ? endpoints : endpoints.filter(({node}) => !tried.has(node));
 	const available = untried.filter(({node}) => !view.isAvoided(node));
 	const usable = available.filter(
 		endpoint => !endpoint.isSuspect && !isUnreachable(endpoint.dataCentre),
 	);
 	const pool = [usable, available, untried].find(({length}) => length > 0) ?? [];
-	const local = pool.filter(endpoint => endpoint.dataCentre === dataCentre);
-	const remote = pool.filter(endpoint => endpoint.dataCentre !== dataCentre);
+	const local: Endpoint[] = [];
+	const remote: Endpoint[] = [];
+	for (const endpoint of pool) {
+		(endpoint.dataCentre === dataCentre ? local : remote).push(endpoint);
+	}
+
 	const remoteCostMs = Math.max(minRemoteCostMs, goalMs * remoteCostShare);
 	let best: Endpoint | undefined;
 	let lowestCostMs = Number.POSITIVE_INFINITY;
--- a/packages/control/src/endpoint-view.ts
+++ b/packages/control/src/endpoint-view.ts
@@ -162,8 +162,12 @@
 	}
 
 	private isSilent({inFlight, silentSinceMs, holdMsByJob}: EndpointState, nowMs: number): boolean {
+		if (inFlight === 0) {
+			return false;
+		}
+
 		const usualMs = Math.max(0, ...holdMsByJob.values());
-		return inFlight > 0 && nowMs - silentSinceMs > silenceMs + usualMs * silenceFactor;
+		return nowMs - silentSinceMs > silenceMs + usualMs * silenceFactor;
 	}
 
 	private of(node: string): EndpointState {
--- a/packages/daemon/src/bin/medlarsaddled.ts
+++ b/packages/daemon/src/bin/medlarsaddled.ts
@@ -18,6 +18,7 @@
 } from '@medlarsaddle/node';
 import {attach, openStore, readPlatformSettings, upstreamProtocol} from '@medlarsaddle/platform';
 import {type Result, ok} from 'neverthrow';
+import {createErrorGuard} from '../error-guard.js';
 import {LogOutput} from '../log-output.js';
 import {nodeFlags} from '../node-flags.js';
 
@@ -106,6 +107,15 @@
 	const {nodeId, dataCentre, logLevel} = settings;
 	const base = {node: nodeId, dataCentre};
 	const log = createLog({clock, level: logLevel, write: output.write, base});
+	const guard = createErrorGuard({
+		clock,
+		log,
+		giveUp() {
+			exit(exitCodes.failed);
+		},
+	});
+	process.on('uncaughtException', guard);
+	process.on('unhandledRejection', guard);
 	const node = await startNode(log);
 	let isStopping = false;
 	const stop = () => {
--- a/packages/members/src/member-table.ts
+++ b/packages/members/src/member-table.ts
@@ -56,6 +56,12 @@
 		return this.rows.get(id)?.member;
 	}
 
+	/** The record of a member that is alive or suspect; undefined for any other. */
+	getAlive(id: string): Member | undefined {
+		const member = this.get(id);
+		return member && isUp(member) ? member : undefined;
+	}
+
 	/** Merges a received record of a member. Returns true when it replaced the known one. */
 	merge(received: Member): boolean {
 		const known = this.rows.get(received.id);
--- a/packages/node/src/calls/endpoint-directory.ts
+++ b/packages/node/src/calls/endpoint-directory.ts
@@ -14,6 +14,7 @@
 	}
 
 	private byService: Map<string, Endpoint[]> | undefined;
+	private hostCounts: ReadonlyMap<string, number> | undefined;
 
 	private constructor(private readonly gossip: () => Gossip) {}
 
@@ -32,7 +33,10 @@
 	/** Number of hosts of each service. */
 	get hostsByService(): ReadonlyMap<string, number> {
 		this.byService ??= this.buildIndex();
-		return new Map([...this.byService].map(([service, endpoints]) => [service, endpoints.length]));
+		this.hostCounts ??= new Map(
+			[...this.byService].map(([service, endpoints]) => [service, endpoints.length]),
+		);
+		return this.hostCounts;
 	}
 
 	/** Nodes that offer any service. */
@@ -47,13 +51,13 @@
 
 	/** The member with a node ID, if it is alive. */
 	memberOf(node: string): Member | undefined {
-		const member = this.gossip().table.get(node);
-		return member && this.gossip().table.alive.includes(member) ? member : undefined;
+		return this.gossip().table.getAlive(node);
 	}
 
 	/** Discards the endpoints, which the next access derives again. */
 	invalidate(): void {
 		this.byService = undefined;
+		this.hostCounts = undefined;
 	}
 
 	private buildIndex(): Map<string, Endpoint[]> {
--- a/packages/node/src/root/register-control-plane.ts
+++ b/packages/node/src/root/register-control-plane.ts
@@ -27,11 +27,12 @@
 		lifecycle: singleton(({clock}) => Lifecycle.create({clock, leaseMs: gossipTiming.leaseMs})),
 		config: singleton(({log}) => Config.create({log})),
 		health: singleton(() => StoreHealth.create()),
-		store: singleton(({settings, metrics, canReach, openStore}) =>
+		store: singleton(({clock, settings, metrics, canReach, openStore}) =>
 			settings.storeUrl === undefined
 				? undefined
 				: openStore?.({
 						url: settings.storeUrl,
+						clock,
 						canReach,
 						onCall(kind) {
 							metrics.storeCalls.inc({kind});
--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -1,13 +1,5 @@
-import {type Socket, connect} from 'node:net';
 import {type Clock, Fault, errorText, faultKinds} from '@medlarsaddle/core';
-import {
-	ByteReader,
-	MessageError,
-	formatMessage,
-	headerOf,
-	messageFaults,
-	readResponse,
-} from '@medlarsaddle/streams';
+import {ConnectionError, HttpConnection, messageFaults} from '@medlarsaddle/streams';
 import {type Result, err, ok} from 'neverthrow';
 import type {Answer} from '@medlarsaddle/wire';
 
@@ -19,13 +11,6 @@
 	readonly connectTimeoutMs: number;
 };
 
-type Send = {
-	readonly method: string;
-	readonly path: string;
-	readonly headers: readonly string[];
-	readonly body: Uint8Array;
-};
-
 /** How a call failed, and whether any of its bytes may have reached the upstream. */
 type Failure = {
 	readonly fault: Fault;
@@ -34,11 +19,6 @@
 	readonly wasClosed: boolean;
 };
 
-const maxHeadBytes = 64 * 1024;
-
-/** How long before the end of the idle time that the upstream states a connection is given up. */
-const keepAliveMarginMs = 1000;
-
 /**
  * One connection to the upstream, which sends one call at a time.
  *
@@ -48,147 +28,48 @@
 export class Connection {
 	/** Creates a connection that opens with its first call. */
 	static create(opts: Opts): Connection {
-		return new Connection(opts);
+		return new Connection(HttpConnection.create(opts));
 	}
 
-	/** Time of the last answer on this connection, in monotonic milliseconds. */
-	lastAnswerMs = Number.NEGATIVE_INFINITY;
-	private socket: Socket | undefined;
-	private reader: ByteReader | undefined;
-	private isSending = false;
-	private isClosed = false;
-	private isAborted = false;
-	private usableUntilMs = Number.POSITIVE_INFINITY;
+	private constructor(private readonly http: HttpConnection) {}
 
-	private constructor(private readonly opts: Opts) {}
+	/** Time of the last answer on this connection, in monotonic milliseconds. */
+	get lastAnswerMs(): number {
+		return this.http.lastResponseMs;
+	}
 
 	/** Whether another call can be sent on the connection. */
 	get isUsable(): boolean {
-		return !this.isClosed && this.opts.clock.monotonic() < this.usableUntilMs;
+		return this.http.isUsable;
 	}
 
 	/** Sends a call and reads the complete answer. A truncated answer is a failure. */
-	async send({method, path, headers, body}: Send): Promise<Result<Answer, Failure>> {
-		this.isSending = true;
-		let isSent = false;
+	async send(call: Parameters<HttpConnection['send']>[0]): Promise<Result<Answer, Failure>> {
 		try {
-			const {socket, reader} = await this.open();
-			isSent = true;
-			const hasBody = body.length > 0 || !bodilessMethods.has(method);
-			const lengthHeader = hasBody ? ['content-length', String(body.length)] : [];
-			const hostHeader =
-				headerOf(headers, 'host') === undefined ? ['host', this.opts.origin.slice(scheme)] : [];
-			const allHeaders = [...hostHeader, ...headers, ...lengthHeader];
-			socket.write(formatMessage(`${method} ${path} HTTP/1.1`, allHeaders, body));
-			const {maxBodyBytes} = this.opts;
-			const {response, keepsAlive} = await readResponse(reader, {
-				method,
-				maxHeadBytes,
-				maxBodyBytes,
-			});
-			this.lastAnswerMs = this.opts.clock.monotonic();
-			this.setIdleTime(response.headers);
-			// Bytes after the answer belong to no call; the next one would take them for its own.
-			if (!keepsAlive || reader.bufferedBytes > 0 || reader.isEnded) {
-				this.destroy();
-			}
-
-			return ok({kind: 'answer', ...response});
+			return ok({kind: 'answer', ...(await this.http.send(call))});
 		} catch (error) {
-			this.destroy();
-			return err(this.isAborted ? abortedFailure(isSent) : failureOf(error, isSent));
-		} finally {
-			this.isSending = false;
+			return err(failureOf(error));
 		}
 	}
 
 	/** Gives up the call in flight, which then fails, and closes the connection. */
 	abort(): void {
-		this.isAborted = true;
-		this.destroy();
+		this.http.abort();
 	}
 
 	/** Closes the connection immediately. */
 	destroy(): void {
-		this.isClosed = true;
-		this.reader?.stop();
-		this.socket?.destroy();
-	}
-
-	private async open(): Promise<{socket: Socket; reader: ByteReader}> {
-		if (this.isClosed) {
-			throw new Error('the connection is closed');
-		}
-
-		if (this.socket && this.reader) {
-			return {socket: this.socket, reader: this.reader};
-		}
-
-		const {hostname, port} = new URL(this.opts.origin);
-		const socket = connect({host: hostname, port: Number(port), noDelay: true});
-		const reader = ByteReader.over(socket);
-		this.socket = socket;
-		this.reader = reader;
-		// Bytes that arrive between two calls are the answer to none.
-		socket.on('data', () => {
-			if (!this.isSending) {
-				this.destroy();
-			}
-		});
-		socket.on('end', () => {
-			this.isClosed = true;
-			if (!this.isSending) {
-				socket.destroy();
-			}
-		});
-		socket.on('close', () => {
-			this.isClosed = true;
-		});
-		await connected(socket, this.opts);
-		return {socket, reader};
-	}
-
-	private setIdleTime(headers: readonly string[]): void {
-		const seconds = /timeout=(\d{1,6})/iv.exec(headerOf(headers, 'keep-alive') ?? '')?.[1];
-		this.usableUntilMs =
-			seconds === undefined
-				? Number.POSITIVE_INFINITY
-				: this.lastAnswerMs + Number(seconds) * 1000 - keepAliveMarginMs;
+		this.http.destroy();
 	}
 }
 
-const scheme = 'http://'.length;
-
-/** Methods whose requests have no length when they have no body. */
-const bodilessMethods = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE']);
-
-const connected = async (socket: Socket, {clock, connectTimeoutMs}: Opts): Promise<void> =>
-	new Promise((resolve, reject) => {
-		const cancel = clock.after(connectTimeoutMs, () => {
-			socket.destroy(new Error('the connection could not be opened in time'));
-		});
-		let error: Error | undefined;
-		socket.once('error', cause => {
-			error = cause;
-		});
-		socket.once('connect', () => {
-			cancel();
-			resolve();
-		});
-		socket.once('close', () => {
-			cancel();
-			reject(error ?? new Error('the connection was closed before it was open'));
-		});
-	});
-
-const abortedFailure = (isSent: boolean): Failure => ({
-	fault: callAborted,
-	mayHaveRun: isSent,
-	wasClosed: false,
-});
+const failureOf = (error: unknown): Failure => {
+	const {isSent, isAborted, kind} =
+		error instanceof ConnectionError ? error : {isSent: true, isAborted: false, kind: undefined};
+	if (isAborted) {
+		return {fault: callAborted, mayHaveRun: isSent, wasClosed: false};
+	}
 
-const failureOf = (error: unknown, isSent: boolean): Failure => {
-	const kind = error instanceof MessageError ? error.kind : undefined;
 	if (kind === messageFaults.tooLarge) {
 		return {fault: answerTooLarge, mayHaveRun: true, wasClosed: false};
 	}
--- /dev/null
+++ b/packages/streams/src/http-client.ts
@@ -0,0 +1,96 @@
+import type {Clock} from '@medlarsaddle/core';
+import {HttpConnection} from './http-connection.js';
+import type {HttpResponse} from './http-response.js';
+
+type Opts = {
+	/** URL of the server, without a path. */
+	readonly origin: string;
+	readonly clock: Clock;
+	readonly maxBodyBytes: number;
+	readonly connectTimeoutMs: number;
+	/** Requests at a time; further ones wait. */
+	readonly maxConnections: number;
+};
+
+type Request = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: readonly string[];
+	readonly body: Uint8Array;
+	/** Aborts the request; its connection is closed. */
+	readonly signal: AbortSignal;
+};
+
+/**
+ * Sends requests to one server, each on a connection of its own at a time; the connection used last
+ * is used again first.
+ *
+ * @example
+ * const {status} = await client.request({method: 'GET', path: '/', headers: [], body, signal});
+ */
+export class HttpClient {
+	/** Creates a client without connections. */
+	static create(opts: Opts): HttpClient {
+		return new HttpClient(opts);
+	}
+
+	private readonly idle: HttpConnection[] = [];
+	private readonly busy = new Set<HttpConnection>();
+	private readonly waiting: Array<() => void> = [];
+
+	private constructor(private readonly opts: Opts) {}
+
+	/**
+	 * Sends a request and returns the response.
+	 *
+	 * @throws ConnectionError when there is none; the reason of the signal when it aborts before.
+	 */
+	async request({signal, ...req}: Request): Promise<HttpResponse> {
+		while (this.busy.size >= this.opts.maxConnections) {
+			await new Promise<void>(resolve => {
+				this.waiting.push(resolve);
+			});
+		}
+
+		signal.throwIfAborted();
+		const connection = this.acquire();
+		const abort = () => {
+			connection.abort();
+		};
+
+		this.busy.add(connection);
+		signal.addEventListener('abort', abort, {once: true});
+		try {
+			return await connection.send(req);
+		} finally {
+			signal.removeEventListener('abort', abort);
+			this.busy.delete(connection);
+			if (connection.isUsable) {
+				this.idle.push(connection);
+			}
+
+			this.waiting.shift()?.();
+		}
+	}
+
+	/** Closes all connections; requests in flight fail. */
+	destroy(): void {
+		for (const connection of [...this.idle, ...this.busy]) {
+			connection.abort();
+		}
+
+		this.idle.length = 0;
+	}
+
+	private acquire(): HttpConnection {
+		for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
+			if (connection.isUsable) {
+				return connection;
+			}
+
+			connection.destroy();
+		}
+
+		return HttpConnection.create(this.opts);
+	}
+}
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -9,25 +9,6 @@
 /** As in deploy/system.toml: bytecode is accepted only under the flags it was created with. */
 const flags = ['--max-old-space-size=200', '--max-semi-space-size=1'];
 
-/**
- * Bundles the part of undici that the node uses: its main module also runs those for fetch, caches
- * and WebSocket, which takes a sixth of the time of a start.
- */
-const agentOnly = {
-	name: 'agent-only',
-	setup({onLoad, onResolve}) {
-		onResolve({filter: /^undici$/}, () => ({path: 'agent', namespace: 'undici'}));
-		onLoad({filter: /./, namespace: 'undici'}, () => ({
-			contents: `
-				const Dispatcher = require('undici/lib/dispatcher/dispatcher.js');
-				Dispatcher.prototype.request = require('undici/lib/api/api-request.js');
-				exports.Agent = require('undici/lib/dispatcher/agent.js');
-			`,
-			resolveDir: path.resolve('platform'),
-		}));
-	},
-};
-
 await build({
 	entryPoints: ['packages/daemon/src/bin/medlarsaddled.ts'],
 	outfile: path.join(folder, 'medlarsaddled.bundle.cjs'),
@@ -41,7 +22,6 @@
 	minifyWhitespace: true,
 	// The native part of msgpackr cannot be bundled; the search for it takes time at each start.
 	define: {'process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED': '"true"'},
-	plugins: [agentOnly],
 	logLevel: 'warning',
 });
 await rm(path.join(folder, 'medlarsaddled.bytecode'), {force: true});
