--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -53,7 +53,7 @@
 					createRetryBudget: () =>
 						RetryBudget.create({
 							ratio: settings.retryRatio,
-							maxTokens: Math.max(1, settings.retryBurst / gossip.table.alive.length),
+							maxTokens: () => settings.retryBurst / gossip.table.alive.length,
 						}),
 					freeRetryFaults: strategy.freeRetryFaults,
 					hasRetryBudget: settings.admission === 'on',
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -7,7 +7,7 @@
 const loader = path.join(folder, 'medlarsaddled.cjs');
 
 /** As in deploy/system.toml: bytecode is accepted only under the flags it was created with. */
-const flags = ['--max-old-space-size=200', '--max-semi-space-size=1'];
+const flags = ['--max-old-space-size=200', '--max-semi-space-size=4'];
 
 await build({
 	entryPoints: ['packages/daemon/src/bin/medlarsaddled.ts'],
