--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -32,3 +32,4 @@
 export {SlotLimit} from './slot-limit.js';
 export {WeightedRoundRobin} from './weighted-round-robin.js';
 export {ServableShare} from './servable-share.js';
+export {subsetEndpoints} from './subset-endpoints.js';
--- a/packages/node/src/calls/near-selector.ts
+++ b/packages/node/src/calls/near-selector.ts
@@ -1,4 +1,10 @@
-import {EndpointView, DataCentreReachability, chooseNear} from '@medlarsaddle/control';
+import {
+	DataCentreReachability,
+	type Endpoint,
+	EndpointView,
+	chooseNear,
+	subsetEndpoints,
+} from '@medlarsaddle/control';
 import {type Clock, type Random, faultKinds} from '@medlarsaddle/core';
 import {runStates} from '@medlarsaddle/wire';
 import type {EndpointDirectory} from './endpoint-directory.js';
@@ -9,6 +15,8 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly directory: EndpointDirectory;
+	/** ID of this node. */
+	readonly self: string;
 	/** Data centre of this node. */
 	readonly dataCentre: string;
 };
@@ -28,23 +36,46 @@
 
 /**
  * Creates a selector that chooses the endpoint with the earliest expected end of the call, and
- * prefers this data centre while it is not overloaded.
+ * prefers this data centre while it is not overloaded. Of a service with many endpoints it uses a
+ * subset while any of that can be used.
  *
  * @example
- * const selector = createNearSelector({clock, random, directory, dataCentre: 'dc1'});
+ * const selector = createNearSelector({clock, random, directory, self, dataCentre});
  */
 export const createNearSelector = ({
 	clock,
 	random,
 	directory,
+	self,
 	dataCentre,
 }: Deps): EndpointSelector => {
 	const view = EndpointView.create(clock);
 	const reachability = DataCentreReachability.create(clock);
+	/** The directory returns the same list until the members change. */
+	const subsets = new WeakMap<readonly Endpoint[], readonly Endpoint[]>();
+	const subsetOf = (endpoints: readonly Endpoint[]): readonly Endpoint[] => {
+		const subset = subsets.get(endpoints) ?? subsetEndpoints({endpoints, self, dataCentre});
+		subsets.set(endpoints, subset);
+		return subset;
+	};
+
+	const candidatesOf = (service: string, tried: ReadonlySet<string>): readonly Endpoint[] => {
+		const endpoints = directory.endpointsOf(service);
+		const subset = subsetOf(endpoints);
+		const isAnyUsable = subset.some(
+			endpoint =>
+				!tried.has(endpoint.node) &&
+				!endpoint.isSuspect &&
+				!view.isAvoided(endpoint.node) &&
+				!reachability.isUnreachable(endpoint.dataCentre),
+		);
+		return isAnyUsable ? subset : endpoints;
+	};
+
 	return {
 		choose: ({service, job, goalMs = 0}, tried) =>
 			chooseNear({
-				endpoints: directory.endpointsOf(service),
+				endpoints: candidatesOf(service, tried),
 				tried,
 				view,
 				random,
--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -1,15 +1,7 @@
 import {connect} from 'node:net';
 import {once} from 'node:events';
 import {setImmediate} from 'node:timers/promises';
-import {
-	type Clock,
-	type Log,
-	Fault,
-	errorText,
-	events,
-	faultKinds,
-	alignedDelayMs,
-} from '@medlarsaddle/core';
+import {type Clock, type Log, errorText, events, alignedDelayMs} from '@medlarsaddle/core';
 import type {Member} from '@medlarsaddle/members';
 import type {Task} from '@medlarsaddle/supervise';
 import {
@@ -21,6 +13,7 @@
 	messageTypes,
 	runStates,
 } from '@medlarsaddle/wire';
+import {peerFaults} from './peer-faults.js';
 import {refusalOf} from './refusal-of.js';
 
 type Opts = {
@@ -63,6 +56,8 @@
 	/** Monotonic time since when at least one reply has been pending. */
 	private pendingSinceMs = 0;
 	private resolveOpened: ((isOpen: boolean) => void) | undefined;
+	/** Wakes the task that watches for silence, while it waits for a reply to be pending. */
+	private wakeWatcher: (() => void) | undefined;
 
 	private constructor(private readonly opts: Opts) {
 		this.lastUsedMs = opts.clock.monotonic();
@@ -102,6 +97,7 @@
 			}
 
 			this.pendingReplies.clear();
+			this.wakeWatcher?.();
 		}
 	};
 
@@ -136,7 +132,7 @@
 		this.send({type: messageTypes.cancel, id});
 		const isLate = this.opts.clock.monotonic() - startMs >= request.remainingMs;
 		return refusalOf(
-			isLate || signal.aborted ? deadlineExceeded : connectionLost,
+			isLate || signal.aborted ? peerFaults.deadlineExceeded : peerFaults.connectionLost,
 			runStates.unknown,
 			0,
 		);
@@ -197,11 +193,11 @@
 
 			const stopTimer = this.opts.clock.after(Math.max(0, timeoutMs), onAbort);
 			signal?.addEventListener('abort', onAbort, {once: true});
-			if (this.pendingReplies.size === 0) {
+			this.pendingReplies.set(id, settle);
+			if (this.pendingReplies.size === 1) {
 				this.pendingSinceMs = this.opts.clock.monotonic();
+				this.wakeWatcher?.();
 			}
-
-			this.pendingReplies.set(id, settle);
 		});
 	}
 
@@ -216,34 +212,45 @@
 		}
 	}
 
+	/** Resolves when a reply is pending, when the connection has ended, or after a time. */
+	private async untilPending(ms: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const cancel = this.opts.clock.after(ms, resolve);
+			this.wakeWatcher = () => {
+				cancel();
+				resolve();
+			};
+		});
+		this.wakeWatcher = undefined;
+	}
+
 	/** Ends when the connection is silent while replies are pending, or was idle for too long. */
 	private async watchSilence(link: Link): Promise<void> {
 		while (link.isOpen) {
-			const {clock} = this.opts;
-			await clock.sleep(alignedDelayMs(clock.monotonic(), silenceCheckPeriodMs));
-			const nowMs = clock.monotonic();
-			// Before the first pending reply, a link may rightly have been silent for a long time.
-			const silenceMs = nowMs - Math.max(link.lastReceivedMs, this.pendingSinceMs);
 			if (this.pendingReplies.size === 0) {
-				if (nowMs - this.lastUsedMs > idleTimeoutMs) {
+				// A node has links to most others and uses few at a time, so idle ones set no timer.
+				await this.untilPending(idleTimeoutMs);
+				const idleMs = this.opts.clock.monotonic() - this.lastUsedMs;
+				if (this.pendingReplies.size === 0 && idleMs >= idleTimeoutMs) {
 					return;
 				}
-			} else if (silenceMs > closeAfterSilenceMs) {
+			} else if (await this.isSilent(link)) {
 				return;
-			} else if (silenceMs > probeAfterSilenceMs) {
-				link.send({type: messageTypes.probe, id: 0});
 			}
 		}
 	}
-}
 
-const connectionLost = Fault.of(
-	faultKinds.unreachable,
-	'The connection ended before the answer came',
-	'Look up whether the action took effect before sending it again',
-);
-const deadlineExceeded = Fault.of(
-	faultKinds.deadlineExceeded,
-	'The answer did not come before the deadline',
-	'Look up whether the action took effect before sending it again',
-);
+	/** Waits for the next check, and probes a connection that is silent while replies are pending. */
+	private async isSilent(link: Link): Promise<boolean> {
+		const {clock} = this.opts;
+		await clock.sleep(alignedDelayMs(clock.monotonic(), silenceCheckPeriodMs));
+		// Before the first pending reply, a link may rightly have been silent for a long time.
+		const sinceMs = Math.max(link.lastReceivedMs, this.pendingSinceMs);
+		const silenceMs = this.pendingReplies.size === 0 ? 0 : clock.monotonic() - sinceMs;
+		if (silenceMs > probeAfterSilenceMs && silenceMs <= closeAfterSilenceMs) {
+			link.send({type: messageTypes.probe, id: 0});
+		}
+
+		return silenceMs > closeAfterSilenceMs;
+	}
+}
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -38,7 +38,13 @@
 			LoadTracker.create({clock, hostsByService: () => directory.hostsByService}),
 		),
 		selector: singleton(({strategy, clock, random, directory, self}) =>
-			strategy.createSelector({clock, random, directory, dataCentre: self.dataCentre}),
+			strategy.createSelector({
+				clock,
+				random,
+				directory,
+				self: self.id,
+				dataCentre: self.dataCentre,
+			}),
 		),
 		sender: singleton(
 			({clock, log, directory, peers, upstream, self, settings, selector, strategy, gossip}) =>
--- a/packages/node/src/root/strategy.ts
+++ b/packages/node/src/root/strategy.ts
@@ -7,6 +7,8 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly directory: EndpointDirectory;
+	/** ID of this node. */
+	readonly self: string;
 	readonly dataCentre: string;
 };
 
--- a/packages/node/test/peer.test.ts
+++ b/packages/node/test/peer.test.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import net from 'node:net';
 import {test} from 'node:test';
-import {ManualClock} from '@medlarsaddle/core';
+import {type Clock, ManualClock} from '@medlarsaddle/core';
 import {memberStates} from '@medlarsaddle/members';
 import {Link, type Message, callModes, messageTypes} from '@medlarsaddle/wire';
 import {Peer} from '../src/peers/peer.js';
@@ -28,10 +28,8 @@
 	return value.type;
 };
 
-// Silence counts from the first pending reply. Counted from the last message, a call on a
-// connection that had been idle would close that connection at once.
-test('a connection that was idle is not closed as silent when a call is sent on it', async () => {
-	const clock = ManualClock.at(0);
+/** Opens a peer over loopback; `clock` is its clock. */
+const openPeer = async (clock: Clock) => {
 	const server = net.createServer();
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -56,8 +54,16 @@
 	const abort = new AbortController();
 	const ended = peer.run(abort.signal, () => {});
 	const [socket] = await accepted;
-	const link = Link.over(socket, clock);
 	await peer.opened;
+	return {abort, ended, peer, server, socket};
+};
+
+// Silence counts from the first pending reply. Counted from the last message, a call on a
+// connection that had been idle would close that connection at once.
+test('a connection that was idle is not closed as silent when a call is sent on it', async () => {
+	const clock = ManualClock.at(0);
+	const {abort, ended, peer, server, socket} = await openPeer(clock);
+	const link = Link.over(socket, clock);
 	await clock.advance(10_000);
 	const outcome = peer.call(callModes.run, request, abort.signal);
 	const messages = link.messages();
@@ -71,3 +77,32 @@
 	socket.destroy();
 	server.close();
 });
+
+// With hundreds of hosts a node has a link to most of them, and each uses it every few seconds. A timer
+// of its own for each link would wake the node a thousand times a second.
+test('a connection without pending replies sets no periodic timer', async () => {
+	const manual = ManualClock.at(0);
+	let timers = 0;
+	const clock: Clock = {
+		now: () => manual.now(),
+		monotonic: () => manual.monotonic(),
+		async sleep(ms, signal) {
+			timers++;
+			return manual.sleep(ms, signal);
+		},
+		after(ms, callback) {
+			timers++;
+			return manual.after(ms, callback);
+		},
+	};
+	const {abort, ended, peer, server, socket} = await openPeer(clock);
+	const before = timers;
+	await manual.advance(50_000);
+	assert.ok(peer.isOpen);
+	assert.ok(timers - before <= 1, String(timers - before));
+	await manual.advance(61_000);
+	await ended;
+	abort.abort();
+	socket.destroy();
+	server.close();
+});
