Show that a change is late when all watches of the store fell silent

What callers saw: requests were handled by a configuration that had been replaced more than 2 s before (CONFIG).

The log of all hosts shows that no reader heard of the change until the first of six watches gave up, 4 s after its confirmation.

No logic is changed here.

--- a/packages/testbed/src/harness/store-fleet.ts
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -17,6 +17,9 @@
 const callMs = 5;
 const watchPollMs = 50;
 
+/** Time after the end of a watch in which a client gives it up when nothing has come. */
+const silenceMs = 1000;
+
 /**
  * Many nodes that use the platform's store, on a manual clock: the real tasks of discovery and of the
  * configuration, over simulated gossip and a store that counts its calls by kind and can turn hosts
@@ -46,6 +49,8 @@
 	readonly silent = new Set<string>();
 	private readonly objects = ObjectTable.create();
 	private version = 0;
+	/** Watches that began earlier, in monotonic milliseconds, wait on connections that carry nothing. */
+	private silencedBeforeMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly opts: Opts) {
 		this.network = GossipNetwork.create({seed: opts.seed, groupOf: () => 'r'});
@@ -89,6 +94,11 @@
 		}
 	}
 
+	/** Silences the connections on which watches wait now; new ones work. */
+	silenceWatches(): void {
+		this.silencedBeforeMs = this.clock.monotonic();
+	}
+
 	/** Adds a host without seeds. */
 	add(dataCentre: string, isFirstStart = false): StoreMember {
 		const {clock} = this.network;
@@ -157,21 +167,27 @@
 		}: {kind: string; revision: number; waitMs: number; signal: AbortSignal},
 	) {
 		this.calls.set('watch', (this.calls.get('watch') ?? 0) + 1);
-		const endMs = this.clock.monotonic() + waitMs;
+		const startMs = this.clock.monotonic();
+		const endMs = startMs + waitMs;
 		const hasChanged = () => (this.objects.changesAfter(kind, revision) ?? []).length > 0;
+		const isSilenced = () => startMs <= this.silencedBeforeMs;
 		while (this.clock.monotonic() < endMs && !signal.aborted) {
 			if (this.turnedAway.has(id)) {
 				return err(turnedAwayFault);
 			}
 
-			if (hasChanged() && !this.silent.has(id)) {
+			if (hasChanged() && !this.silent.has(id) && !isSilenced()) {
 				break;
 			}
 
 			await this.clock.sleep(watchPollMs);
 		}
 
-		if (this.silent.has(id)) {
+		if (isSilenced()) {
+			await this.clock.sleep(silenceMs);
+		}
+
+		if (this.silent.has(id) || isSilenced()) {
 			return err(turnedAwayFault);
 		}
 
