Close idle connections to a server after a request without an answer

Cause: the client of the store uses the idle connection that it used last. After connections fell silent, a read that followed a given-up watch could wait on the next silent connection, and each of them costs a timeout of its own. The class: evidence about one connection was not used for those that share its fate.

The test leaves two silent connections, gives up a request on one and sends another: it failed before ("ConnectionError: the request was given up").

Change: after a request that failed, idle connections without a response since its start are closed.

--- a/packages/streams/src/http-client.ts
+++ b/packages/streams/src/http-client.ts
@@ -15,7 +15,7 @@
 
 /**
  * Sends requests to one server, each on a connection of its own at a time; the connection used last
- * is used again first.
+ * is used again first, unless a request has failed since its last response.
  *
  * @example
  * const {status} = await client.request({method: 'GET', path: '/', headers: [], body, signal});
@@ -50,10 +50,14 @@
 			connection.abort();
 		};
 
+		const startMs = this.opts.clock.monotonic();
 		this.busy.add(connection);
 		signal.addEventListener('abort', abort, {once: true});
 		try {
 			return await connection.send(req);
+		} catch (error) {
+			this.closeIdleSince(startMs);
+			throw error;
 		} finally {
 			signal.removeEventListener('abort', abort);
 			this.busy.delete(connection);
@@ -74,6 +78,16 @@
 		this.idle.length = 0;
 	}
 
+	/**
+	 * Closes idle connections without a response since a request that failed: what has silenced one
+	 * connection may have silenced all that were open then.
+	 */
+	private closeIdleSince(ms: number): void {
+		for (const connection of this.idle.filter(({lastResponseMs}) => lastResponseMs < ms)) {
+			connection.destroy();
+		}
+	}
+
 	private acquire(): HttpConnection {
 		for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
 			if (connection.isUsable) {
--- a/packages/streams/test/http-client.test.ts
+++ b/packages/streams/test/http-client.test.ts
@@ -56,6 +56,25 @@
 	assert.equal(sockets.length, 1);
 });
 
+// A router that forgets connections forgets all of them, and each would cost a timeout of its own.
+test('after a request without an answer the next one waits on another silent connection', async () => {
+	const silent = new Set<net.Socket>();
+	answerTo = (req, socket) => {
+		if (!silent.has(socket)) {
+			socket.write(ok(req.split(' ')[1]!));
+		}
+	};
+
+	await Promise.all([get('/1'), get('/2')]);
+	assert.equal(sockets.length, 2);
+	for (const socket of sockets) {
+		silent.add(socket);
+	}
+
+	await assert.rejects(get('/3', AbortSignal.timeout(50)));
+	assert.equal(await get('/4', AbortSignal.timeout(2000)), '/4');
+});
+
 // The answer to a request that was given up may still come; it must not be read as the next one.
 test('the connection of a request that was given up is not used again', async () => {
 	const abort = new AbortController();
