Fetch a section over a new link when the old one to that node has gone silent

What callers saw: nothing yet; found while looking for the cause of late configurations elsewhere. A version that has reached one reader would spread late to the other nodes.

Cause: a request to another node waited 1 s for its reply and failed, although a new connection would have answered at once. Calls that must not be repeated are preceded by a probe, but when it failed they were refused as well: the closed link was still the known one until its task had ended. The class is that of the watches: silence is taken for a quiet peer.

Change: every request is preceded by the probe that calls had, and a closed link is replaced at once.

--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -71,6 +71,11 @@
 		return this.link?.isOpen ?? false;
 	}
 
+	/** Whether the connection was open and has been closed; its task may still have to end. */
+	get isClosed(): boolean {
+		return this.link?.isOpen === false;
+	}
+
 	/** Task of the connection: opens it, reads replies until it ends, then fails pending requests. */
 	readonly run: Task = async (signal, ready) => {
 		ready();
@@ -112,7 +117,6 @@
 	): Promise<CallOutcome | undefined> {
 		const startMs = this.opts.clock.monotonic();
 		if (!request.idempotent && !(await this.isResponsive())) {
-			this.link?.close();
 			return undefined;
 		}
 
@@ -149,13 +153,11 @@
 		return reply;
 	}
 
-	/** Sends a message that has no reply; false when it could not be sent. */
-	send(message: Message): boolean {
-		this.lastUsedMs = this.opts.clock.monotonic();
-		return this.link?.send(message) ?? false;
-	}
-
-	private async isResponsive(): Promise<boolean> {
+	/**
+	 * Whether the other node has been heard of recently or answers a probe; closes the connection if
+	 * not.
+	 */
+	async isResponsive(): Promise<boolean> {
 		const {link} = this;
 		if (!link?.isOpen) {
 			return false;
@@ -168,7 +170,18 @@
 
 		// After a stall of this process the reply may still be unread in the socket.
 		await setImmediate();
-		return link.lastReceivedMs > startMs;
+		const hasAnswered = link.lastReceivedMs > startMs;
+		if (!hasAnswered) {
+			link.close();
+		}
+
+		return hasAnswered;
+	}
+
+	/** Sends a message that has no reply; false when it could not be sent. */
+	send(message: Message): boolean {
+		this.lastUsedMs = this.opts.clock.monotonic();
+		return this.link?.send(message) ?? false;
 	}
 
 	private async probe(): Promise<boolean> {
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -66,8 +66,14 @@
 
 	/** Sends a request to a node and waits for its reply; undefined when none arrived. */
 	async request(member: Member, build: (id: number) => Message): Promise<Message | undefined> {
-		const peer = await this.connect(member);
-		return peer?.request(build);
+		for (let attempt = 0; attempt < maxConnectAttempts; attempt++) {
+			const peer = await this.connect(member);
+			if (await peer?.isResponsive()) {
+				return peer?.request(build);
+			}
+		}
+
+		return undefined;
 	}
 
 	/** Sends a message to a node without waiting for a reply. */
@@ -83,8 +89,8 @@
 
 		const key = `${member.id}#${member.incarnation}`;
 		const existing = this.peersByKey.get(key);
-		if (existing) {
-			return existing.isOpen || (await existing.opened) ? existing : undefined;
+		if (existing && !existing.isClosed) {
+			return (await existing.opened) ? existing : undefined;
 		}
 
 		const {clock, log, supervisor, self} = this.opts;
@@ -99,7 +105,9 @@
 				try {
 					await peer.run(signal, ready);
 				} finally {
-					this.peersByKey.delete(key);
+					if (this.peersByKey.get(key) === peer) {
+						this.peersByKey.delete(key);
+					}
 				}
 			},
 		});
