Accept a configuration of any size that the store accepts

What callers would see: an accepted configuration is refused by every node, and the old one stays in force for good (CONFIG), with 404 on the routes that it adds (DENIED).

Cause: the decoded section repeats the host in each route and is longer than the object in the store, but both were held to 1 MB. The class: a bound on one encoding is applied to another.

Evidence: 5,000 routes with a host name of 67 characters fit an object of 1 MB and were refused ("The section is larger than 1048576 bytes"); the test failed.

Change: a routes section may have 4 MB, as frames between nodes allow.

--- a/packages/policy/src/policy-limits.ts
+++ b/packages/policy/src/policy-limits.ts
@@ -8,6 +8,6 @@
 	maxDeadlineMs: 120_000,
 	maxRetries: 10,
 	maxRoutes: 20_000,
-	/** A routes section may be as large as an object of the platform's store. */
-	maxRoutesBytes: 1024 * 1024,
+	/** Several times an object of the platform's store, whose text may name a host once for all routes. */
+	maxRoutesBytes: 4 * 1024 * 1024,
 } as const;
