--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -7,4 +7,5 @@
 export {policyLimits} from './policy-limits.js';
 export {policyWarnings} from './policy-warnings.js';
 export {sectionNameOf} from './section-name-of.js';
+export {routeSchema} from './route-schema.js';
 export {RouteTable} from './route-table.js';
--- a/packages/policy/src/route.ts
+++ b/packages/policy/src/route.ts
@@ -1,5 +1,5 @@
 import type {z} from 'zod';
-import type {routesSection} from './routes-section.js';
+import type {routeSchema} from './route-schema.js';
 
 /**
  * One route: the requests that it matches, their target services, and their rank and limits.
@@ -7,4 +7,4 @@
  * @example
  * const {targets, timeoutMs} = route;
  */
-export type Route = z.infer<typeof routesSection>['routes'][number];
+export type Route = z.infer<typeof routeSchema>;
--- a/packages/policy/src/routes-section.ts
+++ b/packages/policy/src/routes-section.ts
@@ -1,34 +1,9 @@
 import {z} from 'zod';
 import {policyLimits} from './policy-limits.js';
-
-const name = z.string().min(1).max(256);
-
-const target = z.object({
-	service: name,
-	/** Share of the requests, relative to the weights of the other targets. */
-	weight: z.number().min(0),
-});
-
-const route = z.object({
-	name,
-	/** Host name of the requests, in lower case and without a port. */
-	host: name,
-	/** Prefix of the request paths; it starts and ends with a slash. */
-	pathPrefix: z.string().startsWith('/').endsWith('/'),
-	targets: z.array(target).min(1),
-	/** Index of the rank; 0 is the most urgent. */
-	rank: z.number().int().min(0),
-	idempotent: z.boolean(),
-	/** Maximum time that a caller waits for a response, in milliseconds. */
-	timeoutMs: z.number().min(1),
-	/** Target latency in milliseconds; an answer within it has its full value. */
-	goalMs: z.number().min(0),
-	/** Maximum number of endpoints that one request may be sent to. */
-	attempts: z.number().int().min(1),
-});
+import {routeSchema} from './route-schema.js';
 
 const service = z.object({
-	name,
+	name: routeSchema.shape.name,
 	healthPath: z.string().startsWith('/'),
 	/** Maximum number of connections that one endpoint accepts from all callers. */
 	maxConnections: z.number().int().min(1),
@@ -37,7 +12,7 @@
 /** Schema of the section `routes`: routes by host and path, and limits for services and callers. */
 export const routesSection = z.object({
 	kind: z.literal('routes'),
-	routes: z.array(route).max(policyLimits.maxRoutes),
+	routes: z.array(routeSchema).max(policyLimits.maxRoutes),
 	services: z.array(service),
 	/** Limits on the size of requests, on the time to receive headers and on idle connections. */
 	callerLimits: z.object({
