Push a version to other members each time instead of to some again

What callers saw: a host to which nothing had happened answered 404 by a version that had been replaced more than 2 s before, while another host had read the new one at once (CONFIG).

Cause: a version is pushed three times to three random members. The draws are independent, so some members are drawn again while others hear nothing. A member that none of the pushes reaches hears of the version by a chance probe, seconds later. The class: a bound that holds only on average.

Change: the pushes of one version take turns among the members.

--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -1,4 +1,4 @@
-import {type Clock, type Log, type Random, pick} from '@medlarsaddle/core';
+import type {Clock, Log, Random} from '@medlarsaddle/core';
 import type {Address} from './address.js';
 import {addressOf} from './address-of.js';
 import type {Contacts} from './contacts.js';
@@ -20,6 +20,7 @@
 import type {Rumor} from './rumor.js';
 import type {StoreRole} from './store-role.js';
 import {rumorKinds} from './rumor-kinds.js';
+import {TargetRotation} from './target-rotation.js';
 
 type Opts = {
 	readonly clock: Clock;
@@ -74,6 +75,7 @@
 	private readonly prober: Prober;
 	private readonly syncTrigger: SyncTrigger;
 	private readonly pingResponder: PingResponder;
+	private pushTargets: TargetRotation;
 	private readonly lastReceivedMs = new Map<string, number>();
 
 	private constructor(private readonly opts: Opts) {
@@ -106,6 +108,7 @@
 			},
 		});
 		this.syncTrigger = SyncTrigger.create(opts.clock);
+		this.pushTargets = TargetRotation.create(opts.random);
 	}
 
 	/** Known members of this group. */
@@ -163,6 +166,11 @@
 	 */
 	readonly spread = (rumor: Rumor): void => {
 		this.membership.queue.add(rumor);
+		if (rumor.kind === rumorKinds.section) {
+			// The repeated pushes of one version go to other members each time.
+			this.pushTargets = TargetRotation.create(this.opts.random);
+		}
+
 		this.push();
 		if (rumor.kind === rumorKinds.section) {
 			for (const delayMs of gossipTiming.sectionPushDelaysMs) {
@@ -277,7 +285,7 @@
 	/** Sends pending rumors to a few random members without waiting for the next probe. */
 	private push(): void {
 		const others = this.table.alive.filter(({id}) => id !== this.self.id);
-		for (const target of pick(others, fanOut, this.opts.random)) {
+		for (const target of this.pushTargets.next(others, fanOut)) {
 			const rumors = this.datagramSender.takeRumors();
 			if (rumors.length === 0) {
 				return;
--- a/packages/testbed/test/gossip.test.ts
+++ b/packages/testbed/test/gossip.test.ts
@@ -158,3 +158,20 @@
 		{seed, numRuns: 15},
 	);
 });
+
+test('a version is pushed to some members again while others have heard nothing', async () => {
+	const network = await startNetwork({dc1: 13});
+	const [reader, ...others] = network.members;
+	const heard = new Set<number>();
+	network.shouldDrop = (fromPort, toPort) => {
+		if (fromPort === reader!.port) {
+			heard.add(toPort);
+		}
+
+		return true;
+	};
+
+	network.put(reader!, 'routes', 2);
+	await network.clock.advance(400);
+	assert.ok(heard.size >= 9, `${heard.size} of ${others.length}`);
+});
