--- a/packages/testbed/test/routes.test.ts
+++ b/packages/testbed/test/routes.test.ts
@@ -121,6 +121,12 @@
 		headers: {'attempt-id': 'x', 'deadline-ms': '0'},
 		status: 503,
 	},
+	{
+		name: 'less than no time left',
+		target: '/look/1',
+		headers: {'attempt-id': 'x', 'deadline-ms': '-37'},
+		status: 503,
+	},
 	{
 		name: 'headers that are too long',
 		target: '/look/1',
