Skip empty lines between two requests of a connection

Seen by callers: on a kept connection, a request behind two empty lines got 400. Behind a single one nothing was due, yet the connection was answered 408 after the time for a head, and closed.

Evidence, with the code before: `not ok - empty lines between requests are no part of the next request: + 400 - 200` and `not ok - a connection is idle after an empty line, which is not a request that is late: The input was expected to not match the regular expression / 408 /v`.

Change: the reader skips empty lines while it waits for a request, and the connection counts as idle until another byte comes. `hasBytes` had no other user and goes.

--- a/packages/streams/src/byte-reader.ts
+++ b/packages/streams/src/byte-reader.ts
@@ -5,6 +5,9 @@
 /** Received bytes above which the socket is paused until they are read. */
 const maxBufferedBytes = 256 * 1024;
 
+const carriageReturn = 13;
+const lineFeed = 10;
+
 type Chunk = Buffer | undefined;
 
 /**
@@ -60,9 +63,22 @@
 		return this.pending.length;
 	}
 
-	/** Waits for a byte to read; false when the connection ends first. */
-	async hasBytes(): Promise<boolean> {
-		return this.pending.length > 0 || this.receiveMore();
+	/** Skips line ends and waits for the byte after them; false when the connection ends first. */
+	async skipEmptyLines(): Promise<boolean> {
+		for (;;) {
+			while (this.pending[0] === carriageReturn && this.pending[1] === lineFeed) {
+				this.take(2);
+			}
+
+			const isCut = this.pending.length === 1 && this.pending[0] === carriageReturn;
+			if (this.pending.length > 0 && !isCut) {
+				return true;
+			}
+
+			if (!(await this.receiveMore())) {
+				return false;
+			}
+		}
 	}
 
 	/** Discards unread bytes and all that follow; reading then resolves as at the end. */
--- a/packages/streams/src/read-request.ts
+++ b/packages/streams/src/read-request.ts
@@ -71,12 +71,9 @@
 /** Reads a head; empty lines before it are skipped. */
 const readHead = async (reader: ByteReader, maxBytes: number): Promise<Buffer | undefined> => {
 	try {
-		let head = await reader.readUntil('\r\n\r\n', maxBytes);
-		while (head && head.length > 1 && head[0] === 13 && head[1] === 10) {
-			head = head.subarray(2);
-		}
-
-		return head;
+		return (await reader.skipEmptyLines())
+			? await reader.readUntil('\r\n\r\n', maxBytes)
+			: undefined;
 	} catch (error) {
 		throw error instanceof MessageError
 			? new MessageError(messageFaults.headTooLarge, error.message)
--- a/packages/streams/src/serve-requests.ts
+++ b/packages/streams/src/serve-requests.ts
@@ -115,7 +115,7 @@
 
 			isBetweenRequests = true;
 			watchIdleness();
-			if (!(await reader.hasBytes())) {
+			if (!(await reader.skipEmptyLines())) {
 				return false;
 			}
 
--- a/packages/streams/test/serve-requests.test.ts
+++ b/packages/streams/test/serve-requests.test.ts
@@ -177,6 +177,28 @@
 	});
 }
 
+test('a connection is idle after an empty line, which is not a request that is late', async () => {
+	const {clock, ended, far, near, running, served, state, untilReceived, untilRunning} =
+		await serve();
+	far.write(get('/1'));
+	await untilRunning(1);
+	running[0]!.respond();
+	await untilReceived('/1');
+	far.write('\r\n');
+	await once(near, 'data');
+	await clock.advance(limits.headMs);
+	far.write(get('/2'));
+	await Promise.race([untilRunning(2), ended]);
+	assert.doesNotMatch(state.received, / 408 /v);
+	running[1]!.respond();
+	await untilReceived('/2');
+	far.write('\r\n');
+	await once(near, 'data');
+	await clock.advance(limits.idleMs);
+	await served;
+	far.destroy();
+});
+
 test('an idle connection is closed after its time', async () => {
 	const {clock, far, served} = await serve();
 	await clock.advance(limits.idleMs);
