Log which request a node rejected, by which configuration, and why

Seen by operators: MS6002 named neither the request nor the configuration nor the status, and MS6001 of a 404 not what was looked for, so that a 4xx of the node's own could not be traced.

Cause: the error of a message carried no headers, also where the head had been read.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export {Fault} from './fault.js';
 export {faultKinds} from './fault-kinds.js';
 export {hash32} from './hash32.js';
+export {limitLog} from './limit-log.js';
 export {ManualClock} from './manual-clock.js';
 export {pick} from './pick.js';
 export {alignedDelayMs} from './aligned-delay-ms.js';
--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -32,6 +32,9 @@
 	readonly onEnded: (route: Route | undefined, outcome: CallOutcome, elapsedMs: number) => void;
 };
 
+/** What a log line takes of a host or a path that no route matches. */
+const maxLoggedChars = 128;
+
 /** How long a caller that is refused by a draining node should wait before a retry. */
 const drainingRetryAfterMs = 200;
 
@@ -84,6 +87,7 @@
 		log(events.requestEnded, {
 			request: incoming.id,
 			route: route?.name,
+			...(route ? {} : {host: cut(incoming.host), path: cut(incoming.target)}),
 			tried: tried.join(' '),
 			config: config.policy.versionOf('routes'),
 			status: result.kind === 'answer' ? result.status : undefined,
@@ -167,6 +171,9 @@
 	}
 }
 
+/** Cuts a text of the caller to the length that a log line may take of it. */
+const cut = (text: string): string => text.slice(0, maxLoggedChars);
+
 const forwardFaults = {
 	notConfigured: Fault.of(
 		faultKinds.noEndpoint,
--- a/packages/node/test/forwarder.test.ts
+++ b/packages/node/test/forwarder.test.ts
@@ -61,10 +61,13 @@
 		},
 	};
 	const loadTracker = LoadTracker.create({clock, hostsByService: () => new Map()});
+	const lines: Array<Readonly<Record<string, unknown>> | undefined> = [];
 	const forwarder = Forwarder.create({
 		clock,
 		random: createRandom(1),
-		log() {},
+		log(_event, fields) {
+			lines.push(fields);
+		},
 		config: {policy} as unknown as Config,
 		sender: sender as unknown as CallSender,
 		loadTracker,
@@ -85,7 +88,7 @@
 			},
 			new AbortController().signal,
 		);
-	return {send, sentRequests, loadTracker, clock};
+	return {send, sentRequests, loadTracker, clock, lines};
 };
 
 const policy = Policy.empty().with(section)._unsafeUnwrap();
@@ -142,6 +145,23 @@
 	assert.equal(sentRequests.length, 0);
 });
 
+test('the log tells what no route took, by which configuration, and no more than a line of it', async () => {
+	const {send, lines} = setUp({policy});
+	const target = `/pay/${'1'.repeat(5000)}`;
+	await send(target);
+	const {request, config, fault, host, path} = lines[0]!;
+	assert.deepEqual(
+		{request, config, fault, host, path},
+		{
+			request: 'a1',
+			config: 1,
+			fault: faultKinds.notFound,
+			host: 'Shop.example:80',
+			path: target.slice(0, 128),
+		},
+	);
+});
+
 test('a call that belongs to a request in flight is forwarded while the node drains', async () => {
 	const {send, sentRequests, loadTracker} = setUp({policy, isLeaving: true});
 	loadTracker.learn('shop.example/look/', {...answerOutcome, isCall: true});
--- a/packages/streams/src/message-error.ts
+++ b/packages/streams/src/message-error.ts
@@ -17,6 +17,8 @@
 	constructor(
 		readonly kind: Kind,
 		message: string,
+		/** Headers of the message, when its head was read before the error. */
+		readonly headers?: readonly string[],
 	) {
 		super(message);
 	}
--- a/packages/streams/src/read-request.ts
+++ b/packages/streams/src/read-request.ts
@@ -9,6 +9,8 @@
 type Opts = {
 	readonly maxHeadBytes: number;
 	readonly maxBodyBytes: number;
+	/** Called with the headers before the body is read or the message is found to be too large. */
+	readonly onHeaders?: (headers: readonly string[]) => void;
 	/** Called when the head is complete; `expectsContinue` when the sender waits before its body. */
 	readonly onHead?: (expectsContinue: boolean) => void;
 };
@@ -25,7 +27,7 @@
  */
 export const readRequest = async (
 	reader: ByteReader,
-	{maxHeadBytes, maxBodyBytes, onHead}: Opts,
+	{maxHeadBytes, maxBodyBytes, onHeaders, onHead}: Opts,
 ): Promise<HttpRequest | undefined> => {
 	const head = await readHead(reader, maxHeadBytes);
 	if (!head) {
@@ -43,6 +45,7 @@
 	}
 
 	const headers = parseHeaders(lines);
+	onHeaders?.(headers);
 	const {length = 0, isChunked, keepsAlive} = framingOf(headers);
 	if (length > maxBodyBytes) {
 		throw new MessageError(messageFaults.tooLarge, 'the body is too large; send a smaller one');
--- a/packages/streams/src/receive-request.ts
+++ b/packages/streams/src/receive-request.ts
@@ -23,7 +23,8 @@
  * Reads a request whose first byte has arrived, within the times for its head and its body.
  * Undefined when the connection has ended instead.
  *
- * @throws MessageError when the request is malformed, too large, too slow or cut short.
+ * @throws MessageError when the request is malformed, too large, too slow or cut short; with the
+ * headers, when they have been read.
  *
  * @example
  * const received = await receiveRequest(reader, {clock, limits, onExpectsContinue() {}});
@@ -39,10 +40,15 @@
 	};
 
 	let receivedMs = 0;
+	let headers: readonly string[] | undefined;
+	const tooSlow = () => new MessageError(messageFaults.tooSlow, tooSlowMessage, headers);
 	let cancelTimer = clock.after(limits.headMs, giveUp);
 	try {
 		const req = await readRequest(reader, {
 			...limits,
+			onHeaders(received) {
+				headers = received;
+			},
 			onHead(expectsContinue) {
 				receivedMs = clock.monotonic();
 				cancelTimer();
@@ -53,18 +59,21 @@
 			},
 		});
 		if (isTooSlow) {
-			throw tooSlow;
+			throw tooSlow();
 		}
 
 		return req && {req, receivedMs};
 	} catch (error) {
-		throw isTooSlow ? tooSlow : error;
+		if (isTooSlow) {
+			throw tooSlow();
+		}
+
+		throw error instanceof MessageError
+			? new MessageError(error.kind, error.message, headers)
+			: error;
 	} finally {
 		cancelTimer();
 	}
 };
 
-const tooSlow = new MessageError(
-	messageFaults.tooSlow,
-	'the request did not arrive in time; send it faster',
-);
+const tooSlowMessage = 'the request did not arrive in time; send it faster';
