Find the route of a host whose port is empty

Seen by callers: 404 for `Host: shop.example:`, which names the same host as without the colon.

Cause: a port was cut off only with digits.

Evidence, by raw socket with the code before: `not ok - a host is found with a port, with an empty one and in any case: + 404 - 200`.

Change: the digits are optional.

--- a/packages/policy/src/route-table.ts
+++ b/packages/policy/src/route-table.ts
@@ -36,7 +36,7 @@
 	 * Returns the route of a request target, or undefined if none matches. `host` may include a port.
 	 */
 	find(host: string, target: string): Route | undefined {
-		const routes = this.byHost.get(host.toLowerCase().replace(/:\d+$/v, ''));
+		const routes = this.byHost.get(host.toLowerCase().replace(/:\d*$/v, ''));
 		if (!routes) {
 			return undefined;
 		}
