Read chunk lengths with leading zeros

Seen by callers: 400 for a chunked body whose lengths are padded to more than eight digits.

Cause: the digits were bounded, not the number.

Evidence, by raw socket with the code before: `not ok - a chunked body with leading zeros is read whole, and the next request behind it: 'the connection ended before the response was whole'`; the response before that end is 400.

Change: zeros before the eight digits are skipped; the line stays bounded at 1 KiB.

Conclusion: needs callers that pad; no disruption.

--- a/packages/streams/src/read-chunked.ts
+++ b/packages/streams/src/read-chunked.ts
@@ -26,7 +26,7 @@
 			return undefined;
 		}
 
-		const match = /^([0-9a-f]{1,8})[ \t]*(?:;[\t -~]*)?$/iv.exec(line.toString('latin1'));
+		const match = /^0*([0-9a-f]{1,8})[ \t]*(?:;[\t -~]*)?$/iv.exec(line.toString('latin1'));
 		if (!match) {
 			throw malformed('the length of a chunk is malformed; correct it');
 		}
