Read trailers as long as a head

Seen by callers: 413 for a chunked body with a trailer line above 1 KiB, and 400 for more than 64 of them, though the configuration bounds neither.

Cause: trailers were bounded like lines of chunk lengths.

Evidence, by raw socket with the code before: `not ok - a chunked body with a long trailer is read whole, and the next request behind it: 'the connection ended before the response was whole'`; the response before that end is 413.

Change: trailers are bounded together, at 64 KiB, the node's usual bound on a head. Trailers without end are still given up, with a test.

Conclusion: needs callers that send trailers; no disruption.

--- a/packages/streams/src/read-chunked.ts
+++ b/packages/streams/src/read-chunked.ts
@@ -3,7 +3,7 @@
 import {messageFaults} from './message-faults.js';
 
 const maxLineBytes = 1024;
-const maxTrailerLines = 64;
+const maxTrailerBytes = 64 * 1024;
 const lineEnd = '\r\n';
 
 /**
@@ -56,8 +56,9 @@
 };
 
 const skipTrailers = async (reader: ByteReader): Promise<boolean> => {
-	for (let lines = 0; lines <= maxTrailerLines; lines++) {
-		const line = await reader.readUntil(lineEnd, maxLineBytes);
+	let bytes = 0;
+	while (bytes <= maxTrailerBytes) {
+		const line = await reader.readUntil(lineEnd, maxTrailerBytes);
 		if (!line) {
 			return false;
 		}
@@ -65,9 +66,11 @@
 		if (line.length === 0) {
 			return true;
 		}
+
+		bytes += line.length + lineEnd.length;
 	}
 
-	throw malformed('there are too many trailers; send fewer');
+	throw malformed('the trailers are too long; send fewer');
 };
 
 const malformed = (what: string): MessageError => new MessageError(messageFaults.malformed, what);
--- a/packages/streams/test/messages.test.ts
+++ b/packages/streams/test/messages.test.ts
@@ -129,6 +129,11 @@
 		'GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n',
 		'too-large',
 	],
+	[
+		'trailers without end',
+		`GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n${'a: b\r\n'.repeat(11_000)}`,
+		'malformed',
+	],
 	['a body that ends early', 'GET / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab', 'cut-short'],
 	['a head that ends early', 'GET / HTTP/1.1\r\nHost', 'cut-short'],
 ];
