--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -9,6 +9,7 @@
 } from '@medlarsaddle/control';
 import type {Route} from '@medlarsaddle/policy';
 import {type CallOutcome, type CallRequest, runStates} from '@medlarsaddle/wire';
+import {type Result, err, ok} from 'neverthrow';
 import type {Config} from '../config/config.js';
 import {refusalOf} from '../peers/refusal-of.js';
 import type {LoadTracker} from '../upstream/load-tracker.js';
@@ -31,6 +32,9 @@
 	readonly onEnded: (route: Route | undefined, outcome: CallOutcome, elapsedMs: number) => void;
 };
 
+/** What a log line takes of a host or a path that no route matches. */
+const maxLoggedChars = 128;
+
 /** How long a caller that is refused by a draining node should wait before a retry. */
 const drainingRetryAfterMs = 200;
 
@@ -39,7 +43,7 @@
  * and sends the request to an endpoint.
  *
  * @example
- * const outcome = await forwarder.forward(incoming, signal);
+ * const forwarded = await forwarder.forward(incoming, signal);
  */
 export class Forwarder {
 	/** Creates a forwarder. */
@@ -59,8 +63,14 @@
 		});
 	}
 
-	/** Forwards a request and returns its answer or refusal. */
-	async forward(incoming: IncomingRequest, signal: AbortSignal): Promise<CallOutcome> {
+	/**
+	 * Forwards a request and returns its answer or refusal. It is a fault of the request itself when
+	 * no route of the configuration in force takes it; a refusal never is, whatever its kind.
+	 */
+	async forward(
+		incoming: IncomingRequest,
+		signal: AbortSignal,
+	): Promise<Result<CallOutcome, Fault>> {
 		const {clock, log, config, onEnded} = this.opts;
 		const startMs = clock.monotonic();
 		const {routes} = config.policy;
@@ -77,6 +87,7 @@
 		log(events.requestEnded, {
 			request: incoming.id,
 			route: route?.name,
+			...(route ? {} : {host: cut(incoming.host), path: cut(incoming.target)}),
 			tried: tried.join(' '),
 			config: config.policy.versionOf('routes'),
 			status: result.kind === 'answer' ? result.status : undefined,
@@ -86,7 +97,7 @@
 			budgetMs: incoming.remainingMs === undefined ? undefined : Math.round(incoming.remainingMs),
 			tookMs: Math.round(elapsedMs),
 		});
-		return outcome;
+		return routes && !route ? err(forwardFaults.noRoute) : ok(outcome);
 	}
 
 	private async sendByRoute(
@@ -160,6 +171,9 @@
 	}
 }
 
+/** Cuts a text of the caller to the length that a log line may take of it. */
+const cut = (text: string): string => text.slice(0, maxLoggedChars);
+
 const forwardFaults = {
 	notConfigured: Fault.of(
 		faultKinds.noEndpoint,
--- a/packages/node/test/forwarder.test.ts
+++ b/packages/node/test/forwarder.test.ts
@@ -61,10 +61,13 @@
 		},
 	};
 	const loadTracker = LoadTracker.create({clock, hostsByService: () => new Map()});
+	const lines: Array<Readonly<Record<string, unknown>> | undefined> = [];
 	const forwarder = Forwarder.create({
 		clock,
 		random: createRandom(1),
-		log() {},
+		log(_event, fields) {
+			lines.push(fields);
+		},
 		config: {policy} as unknown as Config,
 		sender: sender as unknown as CallSender,
 		loadTracker,
@@ -85,7 +88,7 @@
 			},
 			new AbortController().signal,
 		);
-	return {send, sentRequests, loadTracker, clock};
+	return {send, sentRequests, loadTracker, clock, lines};
 };
 
 const policy = Policy.empty().with(section)._unsafeUnwrap();
@@ -117,7 +120,6 @@
 	readonly fault: string;
 }> = [
 	{name: 'before a configuration is loaded', opts: {}, fault: faultKinds.noEndpoint},
-	{name: 'without a route', opts: {policy}, target: '/pay/1', fault: faultKinds.notFound},
 	{name: 'with no time left', opts: {policy}, remainingMs: 0, fault: faultKinds.deadlineExceeded},
 	{
 		name: 'while the node drains',
@@ -129,7 +131,7 @@
 for (const {name, opts, target, remainingMs, fault} of refused) {
 	test(`a request ${name} is refused as not run and not sent`, async () => {
 		const {send, sentRequests} = setUp(opts);
-		const {result} = await send(target, remainingMs);
+		const {result} = (await send(target, remainingMs))._unsafeUnwrap();
 		assert.ok(result.kind === 'refusal');
 		assert.equal(result.fault, fault);
 		assert.equal(result.run, runStates.notRun);
@@ -137,10 +139,33 @@
 	});
 }
 
+test('a request without a route is a fault of the request and not sent', async () => {
+	const {send, sentRequests} = setUp({policy});
+	assert.equal((await send('/pay/1'))._unsafeUnwrapErr().kind, faultKinds.notFound);
+	assert.equal(sentRequests.length, 0);
+});
+
+test('the log tells what no route took, by which configuration, and no more than a line of it', async () => {
+	const {send, lines} = setUp({policy});
+	const target = `/pay/${'1'.repeat(5000)}`;
+	await send(target);
+	const {request, config, fault, host, path} = lines[0]!;
+	assert.deepEqual(
+		{request, config, fault, host, path},
+		{
+			request: 'a1',
+			config: 1,
+			fault: faultKinds.notFound,
+			host: 'Shop.example:80',
+			path: target.slice(0, 128),
+		},
+	);
+});
+
 test('a call that belongs to a request in flight is forwarded while the node drains', async () => {
 	const {send, sentRequests, loadTracker} = setUp({policy, isLeaving: true});
 	loadTracker.learn('shop.example/look/', {...answerOutcome, isCall: true});
-	assert.equal((await send()).result.kind, 'answer');
+	assert.equal((await send())._unsafeUnwrap().result.kind, 'answer');
 	assert.equal(sentRequests[0]?.depth, 1);
 });
 
@@ -153,7 +178,7 @@
 	});
 	let retryAfterMs = 0;
 	for (let request = 0; request < 40; request++) {
-		const {result} = await send();
+		const {result} = (await send())._unsafeUnwrap();
 		if (result.kind === 'refusal') {
 			assert.equal(result.run, runStates.notRun);
 			assert.equal(result.by, 'rules');
