--- a/packages/members/src/roles.ts
+++ b/packages/members/src/roles.ts
@@ -6,8 +6,8 @@
 
 const standbysPerMemberInTrouble = 2;
 
-/** Share of members in trouble above which the store fails everyone, and standbys would fail too. */
-const commonTroubleShare = 1 / 3;
+/** Share of members that have lost the store above which it fails everyone, standbys included. */
+const commonLossShare = 1 / 3;
 
 /**
  * Assigns roles to a few members of a group. Every node computes them from its own member table
@@ -40,7 +40,7 @@
 	/**
 	 * Whether this node is one of the members of its data centre that have a role at the platform's
 	 * store. Members that are suspect or have lost the store are passed over while others remain. For
-	 * each of them in any data centre, two more members take the role, unless there are many: what has
+	 * each of them in any data centre, two more members take the role, unless the store fails most: what has
 	 * befallen one may have befallen all that had it, which takes them a while to find out.
 	 */
 	hasStoreRole(role: StoreRole): boolean {
@@ -98,7 +98,8 @@
 	private countOf({count, maxCount}: StoreRole): number {
 		const {alive} = this.table;
 		const inTrouble = alive.filter(member => !isAble(member)).length;
-		return inTrouble > alive.length * commonTroubleShare
+		const lost = alive.filter(({hasLostStore}) => hasLostStore).length;
+		return lost > alive.length * commonLossShare
 			? count
 			: Math.min(maxCount, count + inTrouble * standbysPerMemberInTrouble);
 	}
--- a/packages/testbed/test/store-calls.test.ts
+++ b/packages/testbed/test/store-calls.test.ts
@@ -113,6 +113,21 @@
 	}
 });
 
+test('hosts that the store answers again are taken for cut off from it', async () => {
+	const fleet = StoreFleet.start({seed: 1, dataCentres: 3, hosts: 13});
+	await fleet.clock.advance(startMs);
+	const members = fleet.network.members.map(({gossip}) => gossip);
+	for (const {self} of members.slice(2)) {
+		fleet.unanswered.add(self.id);
+	}
+
+	await fleet.clock.advance(7000);
+	assert.ok(members.some(({self}) => self.hasLostStore));
+	fleet.unanswered.clear();
+	await fleet.clock.advance(8000);
+	assert.ok(members.every(({self}) => !self.hasLostStore));
+});
+
 test('a version is late everywhere because all watches wait on silent connections', async () => {
 	const fleet = await startFleet(60);
 	for (const sinceChangeMs of [300, 900, 2100, 5300]) {
