Refuse as not run what an unread route may take

Seen by callers: 404, after which nothing is retried, for a path whose route stands in the configuration but was skipped because this node could not read it.

Cause: a skipped route left no trace, so the table looked complete.

Evidence, by socket with the real daemon and the code before: `not ok - a path of a host with a route that could not be read is refused as not run, not as unknown: 404 !== 503`.

Change: the section lists hosts with skipped routes, and a path of such a host that no route takes gets 503. Other hosts get 404 as before.

Conclusion: a 404 now rests on a configuration that was read whole for that host. The store accepts only valid configurations, so this needs one that the two sides judge differently.

--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -7,7 +7,7 @@
 	cohortOf,
 	retryAfter,
 } from '@medlarsaddle/control';
-import type {Route} from '@medlarsaddle/policy';
+import type {Route, RouteTable} from '@medlarsaddle/policy';
 import {type CallOutcome, type CallRequest, runStates} from '@medlarsaddle/wire';
 import {type Result, err, ok} from 'neverthrow';
 import type {Config} from '../config/config.js';
@@ -76,11 +76,10 @@
 		const {routes} = config.policy;
 		const route = routes?.find(incoming.host, incoming.target);
 		const tried: string[] = [];
-		const outcome = routes
-			? route
-				? await this.sendByRoute(incoming, route, signal, node => tried.push(node))
-				: refusalOf(forwardFaults.noRoute, runStates.notRun, 0)
-			: refusalOf(forwardFaults.notConfigured, runStates.notRun, 0);
+		const missingFault = () => missingRouteFault(routes, incoming.host);
+		const outcome = route
+			? await this.sendByRoute(incoming, route, signal, node => tried.push(node))
+			: refusalOf(missingFault(), runStates.notRun, 0);
 		const elapsedMs = clock.monotonic() - startMs;
 		onEnded(route, outcome, elapsedMs);
 		const {result} = outcome;
@@ -97,7 +96,9 @@
 			budgetMs: incoming.remainingMs === undefined ? undefined : Math.round(incoming.remainingMs),
 			tookMs: Math.round(elapsedMs),
 		});
-		return routes && !route ? err(forwardFaults.noRoute) : ok(outcome);
+		return !route && missingFault() === forwardFaults.noRoute
+			? err(forwardFaults.noRoute)
+			: ok(outcome);
 	}
 
 	private async sendByRoute(
@@ -174,12 +175,26 @@
 /** Cuts a text of the caller to the length that a log line may take of it. */
 const cut = (text: string): string => text.slice(0, maxLoggedChars);
 
+/** Why a request without a route has none. Only a complete configuration tells that there is none. */
+const missingRouteFault = (routes: RouteTable | undefined, host: string): Fault => {
+	if (!routes) {
+		return forwardFaults.notConfigured;
+	}
+
+	return routes.isIncomplete(host) ? forwardFaults.routeUnread : forwardFaults.noRoute;
+};
+
 const forwardFaults = {
 	notConfigured: Fault.of(
 		faultKinds.noEndpoint,
 		'This node has not read its configuration yet',
 		'Send the request again in a second',
 	),
+	routeUnread: Fault.of(
+		faultKinds.noEndpoint,
+		'This node could not read each route of this host',
+		'Correct the routes that the log lists as skipped',
+	),
 	noRoute: Fault.of(
 		faultKinds.notFound,
 		'No route of the configuration in force takes this host and path',
--- a/packages/policy/src/route-table.ts
+++ b/packages/policy/src/route-table.ts
@@ -20,10 +20,12 @@
 	/** Least urgent rank of any route. */
 	readonly leastUrgentRank: number;
 	private readonly byHost = new Map<string, Map<string, Route>>();
+	private readonly incompleteHosts: ReadonlySet<string>;
 	private readonly services: ReadonlyMap<string, Body['services'][number]>;
 
 	private constructor(body: Body) {
 		this.callerLimits = body.callerLimits;
+		this.incompleteHosts = new Set(body.incompleteHosts);
 		this.services = new Map(body.services.map(service => [service.name, service]));
 		this.leastUrgentRank = Math.max(0, ...body.routes.map(({rank}) => rank));
 		for (const route of body.routes) {
@@ -36,7 +38,7 @@
 	 * Returns the route of a request target, or undefined if none matches. `host` may include a port.
 	 */
 	find(host: string, target: string): Route | undefined {
-		const routes = this.byHost.get(host.toLowerCase().replace(/:\d*$/v, ''));
+		const routes = this.byHost.get(nameOf(host));
 		if (!routes) {
 			return undefined;
 		}
@@ -53,8 +55,15 @@
 		return undefined;
 	}
 
+	/** Whether a host, which may include a port, has a route that is not in the table. */
+	isIncomplete(host: string): boolean {
+		return this.incompleteHosts.has(nameOf(host));
+	}
+
 	/** Configuration of a service; undefined if the section does not list it. */
 	service(name: string): Body['services'][number] | undefined {
 		return this.services.get(name);
 	}
 }
+
+const nameOf = (host: string): string => host.toLowerCase().replace(/:\d*$/v, '');
--- a/packages/policy/src/routes-section.ts
+++ b/packages/policy/src/routes-section.ts
@@ -13,6 +13,8 @@
 export const routesSection = z.object({
 	kind: z.literal('routes'),
 	routes: z.array(routeSchema).max(policyLimits.maxRoutes),
+	/** Hosts, in lower case, with a route that could not be read and is not listed. */
+	incompleteHosts: z.array(z.string()).optional(),
 	services: z.array(service),
 	/** Limits on the size of requests, on the time to receive headers and on idle connections. */
 	callerLimits: z.object({
--- a/packages/testbed/test/routes.test.ts
+++ b/packages/testbed/test/routes.test.ts
@@ -254,6 +254,26 @@
 	);
 });
 
+// A route that the node could not read is there all the same: a caller does not retry after a 404.
+test('a path of a host with a route that could not be read is refused as not run, not as unknown', async () => {
+	const [host] = hosts;
+	const unreadable = {...route('odd', '/odd/', 'idempotent', 'pay'), action: 'of another kind'};
+	const statusOf = async (target: string, headers: Readonly<Record<string, string>> = {}) => {
+		const {status} = await host!.send(target, {'attempt-id': nextId(), ...headers});
+		return status;
+	};
+
+	platform.write('config', 'main', configuration(6, [...rules, unreadable]));
+	await onEachHost(async each =>
+		each.until(() =>
+			each.daemon.lines.some(({event, version}) => event === 'MS4001' && version === 6),
+		),
+	);
+	assert.equal(await statusOf('/odd/1'), 503);
+	assert.equal(await statusOf('/odd/1', {host: 'other.example'}), 404);
+	await assertServed(host!, '/look/odd');
+});
+
 test('a call in flight completes when a new configuration changes the connection limit of its upstream', async () => {
 	const id = nextId();
 	const heldReplies: Array<() => void> = [];
