Keep a link open on which calls wait when a fetch over it gets no answer

What callers saw: nothing; found in review. A fetch of a section would have ended calls in flight as 502 when the other node stood still for half a second.

Cause: the probe before each request closed the link that did not answer it, whatever else waited there, sooner than the watch for silence does.

Evidence: a call in flight at a node that stops answering, and a fetch beside it: the call was lost with the link (the test failed).

Change: the link is closed only when no reply is pending on it. Calls that must not be repeated close it as before.

--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -117,6 +117,7 @@
 	): Promise<CallOutcome | undefined> {
 		const startMs = this.opts.clock.monotonic();
 		if (!request.idempotent && !(await this.isResponsive())) {
+			this.link?.close();
 			return undefined;
 		}
 
@@ -153,10 +154,14 @@
 		return reply;
 	}
 
-	/**
-	 * Whether the other node has been heard of recently or answers a probe; closes the connection if
-	 * not.
-	 */
+	/** Closes the connection, unless replies are pending on it. */
+	closeIfIdle(): void {
+		if (this.pendingReplies.size === 0) {
+			this.link?.close();
+		}
+	}
+
+	/** Whether the other node has been heard of recently or answers a probe. */
 	async isResponsive(): Promise<boolean> {
 		const {link} = this;
 		if (!link?.isOpen) {
@@ -170,12 +175,7 @@
 
 		// After a stall of this process the reply may still be unread in the socket.
 		await setImmediate();
-		const hasAnswered = link.lastReceivedMs > startMs;
-		if (!hasAnswered) {
-			link.close();
-		}
-
-		return hasAnswered;
+		return link.lastReceivedMs > startMs;
 	}
 
 	/** Sends a message that has no reply; false when it could not be sent. */
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -71,6 +71,11 @@
 			if (await peer?.isResponsive()) {
 				return peer?.request(build);
 			}
+
+			peer?.closeIfIdle();
+			if (peer?.isOpen) {
+				return undefined;
+			}
 		}
 
 		return undefined;
