Give the store's stand-in eras, and restores from a copy

The stand-in could not lose what it had acknowledged, so no test could show what that does.

Change: ObjectTable dates its changes by the clock passed in, undoes them back to a revision and counts eras; the history a watch may read is kept apart from the changes that a restore undoes. Platform answers Store-Era with everything, also errors and watches, restores a copy of a given age, answers 410 to a watch from a revision that it doesn't have, and cuts off waiting watches or leaves them: one that outlives the restore continues from its old revision. StoreFleet does the same on the manual clock. No logic of the product changes.

Conclusion: restores can be played in tests.

--- a/packages/testbed/src/harness/store-fleet.ts
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -47,13 +47,16 @@
 	readonly turnedAway = new Set<string>();
 	/** Hosts whose watches never report anything, as on a connection that has silently failed. */
 	readonly silent = new Set<string>();
-	private readonly objects = ObjectTable.create();
+	private readonly objects: ObjectTable;
 	private version = 0;
 	/** Watches that began earlier, in monotonic milliseconds, wait on connections that carry nothing. */
 	private silencedBeforeMs = Number.NEGATIVE_INFINITY;
+	/** Number of times that all waiting watches were cut off. */
+	private watchCuts = 0;
 
 	private constructor(private readonly opts: Opts) {
 		this.network = GossipNetwork.create({seed: opts.seed, groupOf: () => 'r'});
+		this.objects = ObjectTable.create(this.network.clock);
 		this.configure();
 	}
 
@@ -80,6 +83,11 @@
 	/** Writes the next version of the configuration, as the operator does. */
 	configure(): void {
 		this.version++;
+		this.writeConfiguration();
+	}
+
+	/** Writes the latest version of the configuration again, as the operator does after a restore. */
+	writeConfiguration(): void {
 		const spec = {
 			version: this.version,
 			limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
@@ -99,6 +107,12 @@
 		this.silencedBeforeMs = this.clock.monotonic();
 	}
 
+	/** Restores the store from a copy of the given age; waiting watches are cut off or continue. */
+	restore({ageMs, areWatchesCut}: {ageMs: number; areWatchesCut: boolean}): void {
+		this.objects.restore(this.objects.revisionAt(this.clock.monotonic() - ageMs));
+		this.watchCuts += areWatchesCut ? 1 : 0;
+	}
+
 	/** Adds a host without seeds. */
 	add(dataCentre: string, isFirstStart = false): StoreMember {
 		const {clock} = this.network;
@@ -145,6 +159,7 @@
 		const listOf = (kind: string) => ({
 			objects: this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec})),
 			revision: this.objects.storeRevision,
+			era: this.objects.era,
 		});
 		return {
 			list: async (kind: string, _signal: AbortSignal, opts?: {isStaleAllowed?: boolean}) =>
@@ -171,12 +186,17 @@
 		}: WatchTimes & {kind: string; revision: number; signal: AbortSignal},
 	) {
 		this.calls.set('watch', (this.calls.get('watch') ?? 0) + 1);
+		const {watchCuts} = this;
+		if (revision > this.objects.storeRevision) {
+			return err(historyGoneFault);
+		}
+
 		const startMs = this.clock.monotonic();
 		const endMs = startMs + waitMs;
 		const hasChanged = () => (this.objects.changesAfter(kind, revision) ?? []).length > 0;
 		const isSilenced = () => startMs <= this.silencedBeforeMs;
 		while (this.clock.monotonic() < endMs && !signal.aborted) {
-			if (this.turnedAway.has(id)) {
+			if (this.turnedAway.has(id) || this.watchCuts > watchCuts) {
 				return err(turnedAwayFault);
 			}
 
@@ -198,8 +218,9 @@
 		const objects = hasChanged()
 			? this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec}))
 			: [];
-		return ok({objects, revision: this.objects.storeRevision});
+		return ok({objects, revision: this.objects.storeRevision, era: this.objects.era});
 	}
 }
 
 const turnedAwayFault = Fault.of(faultKinds.storeUnavailable, 'turned away', 'wait');
+const historyGoneFault = Fault.of(faultKinds.notFound, 'history gone', 'list again');
--- a/packages/testbed/src/platform/object-table.ts
+++ b/packages/testbed/src/platform/object-table.ts
@@ -1,4 +1,5 @@
 import {EventEmitter} from 'node:events';
+import type {Clock} from '@medlarsaddle/core';
 
 /**
  * An object in the platform's store.
@@ -22,39 +23,82 @@
 	readonly kind: string;
 	readonly deleted: boolean;
 	readonly object: StoredObject;
+	/** Object before the change; undefined if it was created. */
+	readonly previous: StoredObject | undefined;
+	readonly atMs: number;
 };
 
 type Edit = Partial<Pick<StoredObject, 'spec' | 'status'>> & {
 	readonly finalizers?: readonly string[];
 };
 
+const initialRevision = 1;
+
 /**
- * State of the simulated store: objects by kind and name, one revision counter for all, and the
- * history that watches read.
+ * State of the simulated store: objects by kind and name, one revision counter for all, the
+ * history that watches read, and the era that a restore begins.
  *
  * @example
  * const created = objects.add('config', 'main', {spec: {version: 1}});
  */
 export class ObjectTable {
-	/** Creates a store without objects. */
-	static create(): ObjectTable {
-		return new ObjectTable();
+	/** Creates a store without objects; its changes are dated by the clock. */
+	static create(clock: Pick<Clock, 'monotonic'>): ObjectTable {
+		return new ObjectTable(clock);
 	}
 
-	private revision = 1;
+	private revision = initialRevision;
+	private eraNumber = 1;
 	private readonly kinds = new Map<string, Map<string, StoredObject>>();
 	private history: Change[] = [];
-	/** Revision of the oldest change in the history. */
+	/** Revision of the oldest change that watches may still read. */
 	private oldestRevision = 1;
 	private readonly emitter = new EventEmitter().setMaxListeners(0);
 
-	private constructor() {}
+	private constructor(private readonly clock: Pick<Clock, 'monotonic'>) {}
 
 	/** Revision of the last change. */
 	get storeRevision(): number {
 		return this.revision;
 	}
 
+	/** Number of restores so far, counted from 1. */
+	get era(): number {
+		return this.eraNumber;
+	}
+
+	/** Revision that the store had at a time of its clock, in milliseconds. */
+	revisionAt(atMs: number): number {
+		return (
+			this.history.findLast(change => change.atMs <= atMs)?.object.metadata.revision ??
+			initialRevision
+		);
+	}
+
+	/**
+	 * Puts the objects, the revision counter and the history back to those of an earlier revision and
+	 * begins a new era. The revisions after it are given out again.
+	 */
+	restore(revision: number): void {
+		const isKept = ({object}: Change) => object.metadata.revision <= revision;
+		for (const {kind, object, previous} of this.history
+			.filter(change => !isKept(change))
+			.toReversed()) {
+			const objects = this.kinds.get(kind)!;
+			if (previous) {
+				objects.set(previous.metadata.name, previous);
+			} else {
+				objects.delete(object.metadata.name);
+			}
+		}
+
+		this.history = this.history.filter(change => isKept(change));
+		this.oldestRevision = Math.min(this.oldestRevision, revision + 1);
+		this.revision = revision;
+		this.eraNumber++;
+		this.notifyListeners();
+	}
+
 	/** Objects of a kind, sorted by name. */
 	list(kind: string): StoredObject[] {
 		return [...(this.kinds.get(kind)?.values() ?? [])].toSorted((a, b) =>
@@ -114,7 +158,6 @@
 
 	/** Clears the history, so that watches have to start again from a list. */
 	clearHistory(): void {
-		this.history = [];
 		this.oldestRevision = this.revision + 1;
 		this.notifyListeners();
 	}
@@ -137,21 +180,23 @@
 			metadata: {...object.metadata, revision: this.revision},
 		});
 		const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
+		const previous = objects.get(object.metadata.name);
 		this.kinds.set(kind, objects.set(object.metadata.name, stored));
-		this.record({kind, deleted: false, object: stored});
+		this.record({kind, deleted: false, object: stored, previous});
 		return stored;
 	}
 
 	private drop(kind: string, object: StoredObject): StoredObject {
 		this.revision++;
 		const deletedObject = {...object, metadata: {...object.metadata, revision: this.revision}};
+		const previous = this.get(kind, object.metadata.name);
 		this.kinds.get(kind)?.delete(object.metadata.name);
-		this.record({kind, deleted: true, object: deletedObject});
+		this.record({kind, deleted: true, object: deletedObject, previous});
 		return deletedObject;
 	}
 
-	private record(change: Change): void {
-		this.history.push(change);
+	private record(change: Omit<Change, 'atMs'>): void {
+		this.history.push({...change, atMs: this.clock.monotonic()});
 		this.notifyListeners();
 	}
 }
--- a/packages/testbed/src/platform/platform.ts
+++ b/packages/testbed/src/platform/platform.ts
@@ -1,8 +1,10 @@
 import type {AddressInfo} from 'node:net';
+import {type Clock, createSystemClock} from '@medlarsaddle/core';
 import fastify, {type FastifyReply, type FastifyRequest} from 'fastify';
 import {z} from 'zod';
 import {ObjectTable} from './object-table.js';
 import {platformFaults} from './platform-faults.js';
+import {StoreWatches} from './store-watches.js';
 
 type Faults = z.infer<typeof platformFaults>;
 type StoredObject = NonNullable<ReturnType<ObjectTable['get']>>;
@@ -26,8 +28,8 @@
 
 /**
  * In-memory simulation of the platform's object store: kinds and names, one revision counter,
- * conditional writes, finalizers, paged lists and watches. Faults can be injected, and calls are
- * counted; a waiting watch counts as one call.
+ * conditional writes, finalizers, paged lists, watches and restores from a copy. Faults can be
+ * injected, and calls are counted; a waiting watch counts as one call.
  *
  * @example
  * const platform = await Platform.start();
@@ -35,20 +37,26 @@
  */
 export class Platform {
 	/** Starts the store on a port, a free one by default. */
-	static async start(port = 0): Promise<Platform> {
-		const platform = new Platform();
+	static async start(port = 0, clock: Clock = createSystemClock()): Promise<Platform> {
+		const platform = new Platform(clock);
 		await platform.app.listen({host: '127.0.0.1', port});
 		return platform;
 	}
 
 	/** Number of calls since the start, by kind. */
 	readonly counts = {get: 0, put: 0, watch: 0};
-	readonly objects = ObjectTable.create();
+	readonly objects: ObjectTable;
+	private readonly watches: StoreWatches;
 	private readonly app = fastify({bodyLimit: maxBodyBytes, forceCloseConnections: true});
 	private readonly previousObjects = new Map<string, StoredObject>();
 	private faults: Faults = platformFaults.parse({});
 
-	private constructor() {
+	private constructor(private readonly clock: Clock) {
+		this.objects = ObjectTable.create(clock);
+		this.watches = StoreWatches.create(this.objects);
+		this.app.addHook('onSend', async (_req, reply) => {
+			void reply.header('store-era', this.objects.era);
+		});
 		this.app.addHook('preHandler', async (req, reply) => {
 			if (!req.url.startsWith('/control/')) {
 				await this.applyRequestFaults(reply);
@@ -78,6 +86,18 @@
 			: this.objects.add(kind, name, {spec})!;
 	}
 
+	/**
+	 * Restores the store from a copy of the given age and begins a new era. Waiting watches are cut off,
+	 * or continue from the revisions that they had.
+	 */
+	restore({ageMs, areWatchesCut}: {ageMs: number; areWatchesCut: boolean}): void {
+		this.objects.restore(this.objects.revisionAt(this.clock.monotonic() - ageMs));
+		this.previousObjects.clear();
+		if (areWatchesCut) {
+			this.watches.cutOff();
+		}
+	}
+
 	/** Stops the store. */
 	async stop(): Promise<void> {
 		this.faults = {...this.faults, isDown: true};
@@ -224,7 +244,21 @@
 		reply: FastifyReply,
 	): Promise<unknown> {
 		const revision = Number(watch);
-		await this.waitForChange(kind, revision, Math.min(maxWaitMs, Number(waitMs ?? 0)));
+		if (revision > this.objects.storeRevision) {
+			return reply.code(410).send({});
+		}
+
+		const isCutOff = await this.watches.wait({
+			kind,
+			revision,
+			waitMs: Math.min(maxWaitMs, Number(waitMs ?? 0)),
+			isInterrupted: () => this.faults.isDown,
+		});
+		if (isCutOff) {
+			reply.raw.destroy();
+			return reply.hijack();
+		}
+
 		if (this.faults.isDown) {
 			return reply.code(503).send({});
 		}
@@ -237,29 +271,4 @@
 				}
 			: reply.code(410).send({});
 	}
-
-	private async waitForChange(kind: string, revision: number, waitMs: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const isDone = () => {
-				const changes = this.objects.changesAfter(kind, revision);
-				return this.faults.isDown || changes === undefined || changes.length > 0;
-			};
-
-			const finish = () => {
-				clearTimeout(timer);
-				stopListening();
-				resolve();
-			};
-
-			const timer = setTimeout(finish, waitMs);
-			const stopListening = this.objects.onChange(() => {
-				if (isDone()) {
-					finish();
-				}
-			});
-			if (isDone()) {
-				finish();
-			}
-		});
-	}
 }
