Carry the era of the store with each of its revisions

Change: StorePosition, the era and the revision as one value, takes the place of revisions in objects and pages of the store and of the version numbers of records; a record that does not exist has no position instead of version 0. The client decodes Store-Era once for every answer, also of a failed call, and keeps the newest: it only rises. Conditional calls and watches still send and compare the revision alone, so nothing behaves otherwise yet.

Conclusion: what holds a revision also knows where it is worth something.

--- a/packages/node/src/config/watch-shard.ts
+++ b/packages/node/src/config/watch-shard.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Log, type Random, events} from '@medlarsaddle/core';
-import {type ObjectStore, Shard} from '@medlarsaddle/records';
+import {type ObjectStore, Shard, type StoredObject} from '@medlarsaddle/records';
 import type {Task} from '@medlarsaddle/supervise';
 import type {Config} from './config.js';
 import type {StoreHealth} from './store-health.js';
@@ -30,19 +30,19 @@
 	({store, clock, random, log, config, health, isReader}: Deps, shard: string): Task =>
 	async (signal, ready) => {
 		ready();
-		let version: number | undefined;
+		let read: Pick<StoredObject, 'position'> | undefined;
 		let retryMs = minRetryMs;
 		while (!signal.aborted) {
 			if (!isReader(shard)) {
-				version = undefined;
+				read = undefined;
 				await clock.sleep(readerCheckMs * (0.5 + random.next()), signal);
 				continue;
 			}
 
 			const response =
-				version === undefined
+				read === undefined
 					? await store.get(shard, signal)
-					: await store.watch(shard, version, signal);
+					: await store.watch(shard, read.position, signal);
 			if (response.isErr()) {
 				if (!signal.aborted && health.recordFailure()) {
 					log(events.storeUnavailable, {shard, error: response.error.what});
@@ -58,7 +58,7 @@
 				log(events.storeAvailable, {shard});
 			}
 
-			version = response.value?.version ?? version;
+			read = response.value ?? read;
 			for (const section of Object.values(Shard.of(response.value?.value).sections)) {
 				config.apply(section, 'store');
 			}
--- a/packages/node/src/report/collector.ts
+++ b/packages/node/src/report/collector.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Log, events, faultKinds} from '@medlarsaddle/core';
-import type {ObjectStore} from '@medlarsaddle/records';
+import type {ObjectStore, StorePosition} from '@medlarsaddle/records';
 import {OutcomeHistory} from '@medlarsaddle/report';
 import {ReportObject} from './report-object.js';
 import {shards} from './shards.js';
@@ -26,7 +26,7 @@
 	/** A write without an answer so far, with the counts that it carries. */
 	openWrite?: {readonly id: string; readonly history: OutcomeHistory};
 	/** Content of the store object after the latest read or write of this process. */
-	latest?: {readonly version: number; readonly value: ReportObject};
+	latest?: {readonly position: StorePosition | undefined; readonly value: ReportObject};
 };
 
 const maxSenders = 4000;
@@ -108,7 +108,10 @@
 				return false;
 			}
 
-			pending.latest = {version: read.value.version, value: ReportObject.of(read.value.value)};
+			pending.latest = {
+				position: read.value.position,
+				value: ReportObject.of(read.value.value),
+			};
 			if (pending.openWrite && pending.latest.value.hasWrite(pending.openWrite.id)) {
 				pending.openWrite = undefined;
 			}
@@ -122,10 +125,10 @@
 
 		const {latest, openWrite} = pending;
 		const value = latest.value.with(openWrite.history, openWrite.id, clock.now());
-		const put = await store.put(name, value.stored, latest.version, signal);
+		const put = await store.put(name, value.stored, latest.position, signal);
 		if (put.isOk()) {
 			pending.openWrite = undefined;
-			pending.latest = {version: put.value, value};
+			pending.latest = {position: put.value, value};
 			return pending.batches.length === 0;
 		}
 
@@ -157,7 +160,7 @@
 		}
 
 		const value = {dataCentres: [...names, dataCentre]};
-		const put = await store.put(shards.directoryName, value, read.value.version, signal);
+		const put = await store.put(shards.directoryName, value, read.value.position, signal);
 		this.isRegistered = put.isOk();
 	}
 
--- a/packages/node/test/collector.test.ts
+++ b/packages/node/test/collector.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Fault, ManualClock, faultKinds} from '@medlarsaddle/core';
-import type {ObjectStore} from '@medlarsaddle/records';
+import type {ObjectStore, StoredObject} from '@medlarsaddle/records';
 import {type OutcomeHistory, Tally, computeBurn, outcomeClasses} from '@medlarsaddle/report';
 import {err, ok} from 'neverthrow';
 import {Collector} from '../src/report/collector.js';
@@ -18,34 +18,32 @@
 
 /** An in-memory object store whose calls can be made to fail or to lose their answers. */
 const createStore = () => {
-	const objects = new Map<string, {version: number; value: unknown}>();
+	const objects = new Map<string, StoredObject>();
 	const faults = {isDown: false, answersToLose: 0};
 	const store: ObjectStore = {
 		async get(name) {
 			return faults.isDown
 				? err(storeUnavailable)
-				: ok(objects.get(name) ?? {version: 0, value: undefined});
+				: ok(objects.get(name) ?? {position: undefined, value: undefined});
 		},
-		async put(name, value, ifVersion) {
+		async put(name, value, expected) {
 			if (faults.isDown) {
 				return err(storeUnavailable);
 			}
 
-			const version = objects.get(name)?.version ?? 0;
-			if (version !== ifVersion) {
+			const revision = objects.get(name)?.position?.revision;
+			if (revision !== expected?.revision) {
 				return err(versionConflict);
 			}
 
-			objects.set(name, {
-				version: version + 1,
-				value: structuredClone(value),
-			});
+			const position = {era: 1, revision: (revision ?? 0) + 1};
+			objects.set(name, {position, value: structuredClone(value)});
 			if (faults.answersToLose > 0) {
 				faults.answersToLose--;
 				return err(storeUnavailable);
 			}
 
-			return ok(version + 1);
+			return ok(position);
 		},
 		async watch() {
 			return ok(undefined);
@@ -162,7 +160,10 @@
 		'a stored value that is malformed counts as empty',
 		2,
 		async ({collector, objects}) => {
-			objects.set(shards.objectName('dc1', shard), {version: 9, value: {rows: 'none', writes: 1}});
+			objects.set(shards.objectName('dc1', shard), {
+				position: {era: 1, revision: 9},
+				value: {rows: 'none', writes: 1},
+			});
 			collector.add(batch(1, 2));
 			await collector.flush(shard, signal);
 		},
--- a/packages/node/test/watch-shard.test.ts
+++ b/packages/node/test/watch-shard.test.ts
@@ -26,12 +26,12 @@
 		apply: () => false,
 	} as unknown as Config;
 	let stored = Shard.of(undefined).with(section(2));
-	const version = {era: 2, revision: 7};
+	const position = {era: 2, revision: 7};
 	const store = {
-		get: async () => ok({version, value: stored}),
+		get: async () => ok({position, value: stored}),
 		async put(_name: string, value: unknown) {
 			stored = Shard.of(value);
-			return ok({...version, revision: 8});
+			return ok({...position, revision: 8});
 		},
 		async watch() {
 			await clock.sleep(1000);
--- a/packages/records/src/object-store.ts
+++ b/packages/records/src/object-store.ts
@@ -1,5 +1,6 @@
 import type {Fault} from '@medlarsaddle/core';
 import type {Result} from 'neverthrow';
+import type {StorePosition} from './store-position.js';
 import type {StoredObject} from './stored-object.js';
 
 /**
@@ -12,21 +13,21 @@
 	/** Reads an object. */
 	get(name: string, signal: AbortSignal): Promise<Result<StoredObject, Fault>>;
 	/**
-	 * Writes an object if its version is still `expectedVersion`, and returns the new version. If it
-	 * is not, the fault is of kind `conflict`; after any other fault the write may have taken effect.
+	 * Writes an object if its position is still `expected`, and returns the new one. If it is not, the
+	 * fault is of kind `conflict`; after any other fault the write may have taken effect.
 	 */
 	put(
 		name: string,
 		value: unknown,
-		expectedVersion: number,
+		expected: StorePosition | undefined,
 		signal: AbortSignal,
-	): Promise<Result<number, Fault>>;
+	): Promise<Result<StorePosition, Fault>>;
 	/**
-	 * Waits until the object is newer than `afterVersion`; returns undefined if the wait times out.
+	 * Waits until the object changes after a position; returns undefined if the wait times out.
 	 */
 	watch(
 		name: string,
-		afterVersion: number,
+		after: StorePosition | undefined,
 		signal: AbortSignal,
 	): Promise<Result<StoredObject | undefined, Fault>>;
 	/** Closes every connection. */
--- a/packages/records/src/stored-object.ts
+++ b/packages/records/src/stored-object.ts
@@ -1,10 +1,13 @@
+import type {StorePosition} from './store-position.js';
+
 /**
- * An object in the platform's store. Version 0 means that it does not exist.
+ * An object in the platform's store.
  *
  * @example
- * const {version, value} = object;
+ * const {position, value} = object;
  */
 export type StoredObject = {
-	readonly version: number;
+	/** Position of its latest change; undefined if it does not exist. */
+	readonly position: StorePosition | undefined;
 	readonly value: unknown;
 };
--- a/packages/records/src/write-change.ts
+++ b/packages/records/src/write-change.ts
@@ -54,7 +54,7 @@
 			return ok(section);
 		}
 
-		const put = await deps.store.put(name, shard, read.value.version, signal);
+		const put = await deps.store.put(name, shard, read.value.position, signal);
 		if (put.isOk()) {
 			return ok(section);
 		}
--- a/packages/records/test/write-change.test.ts
+++ b/packages/records/test/write-change.test.ts
@@ -17,7 +17,8 @@
 const fakeStore = (faults: readonly FakeResponse[]) => {
 	const objects = new Map<string, StoredObject[]>();
 	const remainingFaults = [...faults];
-	const versionsOf = (name: string) => objects.get(name) ?? [{version: 0, value: undefined}];
+	const versionsOf = (name: string) =>
+		objects.get(name) ?? [{position: undefined, value: undefined}];
 	const store: ObjectStore = {
 		async get(name) {
 			const fault = remainingFaults.shift();
@@ -26,19 +27,20 @@
 				? storeUnavailable
 				: ok(states.at(fault === 'stale' && states.length > 1 ? -2 : -1)!);
 		},
-		async put(name, value, expectedVersion) {
+		async put(name, value, expected) {
 			const fault = remainingFaults.shift();
 			const states = versionsOf(name);
 			if (fault === 'down') {
 				return storeUnavailable;
 			}
 
-			if (states.at(-1)!.version !== expectedVersion) {
+			if (states.at(-1)!.position?.revision !== expected?.revision) {
 				return versionConflict;
 			}
 
-			objects.set(name, [...states, {version: expectedVersion + 1, value: structuredClone(value)}]);
-			return fault === 'lost' ? storeUnavailable : ok(expectedVersion + 1);
+			const position = {era: 1, revision: states.length};
+			objects.set(name, [...states, {position, value: structuredClone(value)}]);
+			return fault === 'lost' ? storeUnavailable : ok(position);
 		},
 		async watch() {
 			return storeUnavailable;
--- a/packages/testbed/src/harness/store-fleet.ts
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -1,6 +1,12 @@
 import {Fault, type ManualClock, createRandom, faultKinds, hash32} from '@medlarsaddle/core';
 import {type NodeCore, nextTurn} from '@medlarsaddle/node';
-import {type StoreClient, discoverMembers, followConfiguration} from '@medlarsaddle/platform';
+import {
+	type StoreClient,
+	StoreEra,
+	discoverMembers,
+	followConfiguration,
+} from '@medlarsaddle/platform';
+import type {StorePosition} from '@medlarsaddle/records';
 import {err, ok} from 'neverthrow';
 import {ObjectTable} from '../platform/object-table.js';
 import {GossipNetwork} from './gossip-network.js';
@@ -14,6 +20,7 @@
 type StoreMember = ReturnType<GossipNetwork['add']>;
 type WatchTimes = {readonly waitMs: number; readonly patienceMs: number};
 type TurnTimes = {readonly elapsedMs: number; readonly spacingMs: number};
+type StoredObject = ReturnType<ObjectTable['list']>[number];
 type Spec = {readonly name: string; readonly spec: unknown};
 
 const callMs = 5;
@@ -94,12 +101,7 @@
 			listeners: [],
 			clusters: [],
 		};
-		const known = this.objects.get('config', 'main');
-		if (known) {
-			this.objects.edit('config', known, {spec});
-		} else {
-			this.objects.add('config', 'main', {spec});
-		}
+		this.write('config', 'main', spec);
 	}
 
 	/** Silences the connections on which watches wait now; new ones work. */
@@ -150,28 +152,38 @@
 	}
 
 	private storeFor(id: string): StoreClient {
+		const era = StoreEra.create();
 		const call = async <Value>(kind: string, answer: () => Value) => {
 			this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
 			await this.clock.sleep(callMs);
-			return this.turnedAway.has(id) ? err(turnedAwayFault) : ok(answer());
+			if (this.turnedAway.has(id)) {
+				return err(turnedAwayFault);
+			}
+
+			era.note(this.objects.era);
+			return ok(answer());
 		};
 
-		const listOf = (kind: string) => ({
-			objects: this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec})),
-			revision: this.objects.storeRevision,
-			era: this.objects.era,
-		});
 		return {
+			era,
 			list: async (kind: string, _signal: AbortSignal, opts?: {isStaleAllowed?: boolean}) =>
-				call(opts?.isStaleAllowed ? 'list-stale' : 'list', () => listOf(kind)),
+				call(opts?.isStaleAllowed ? 'list-stale' : 'list', () => this.pageOf(kind)),
 			create: async (kind: string, {name, spec}: Spec) =>
-				call('create', () => this.objects.add(kind, name, {spec})),
+				call('create', () => this.toObject(this.write(kind, name, spec))),
 			replace: async (kind: string, {name, spec}: Spec) =>
-				call('replace', () => this.objects.edit(kind, this.objects.get(kind, name)!, {spec})),
+				call('replace', () => this.toObject(this.write(kind, name, spec))),
 			remove: async (kind: string, name: string) =>
 				call('remove', () => this.objects.remove(kind, this.objects.get(kind, name)!)),
-			watch: async (kind: string, revision: number, times: WatchTimes, signal: AbortSignal) =>
-				this.watch(id, {kind, revision, ...times, signal}),
+			watch: async (
+				kind: string,
+				position: StorePosition,
+				times: WatchTimes,
+				signal: AbortSignal,
+			) => {
+				const page = await this.watch(id, {kind, ...position, ...times, signal});
+				era.note(page.isOk() ? page.value.position.era : 0);
+				return page;
+			},
 		} as unknown as StoreClient;
 	}
 
@@ -215,10 +227,23 @@
 			return err(turnedAwayFault);
 		}
 
-		const objects = hasChanged()
-			? this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec}))
-			: [];
-		return ok({objects, revision: this.objects.storeRevision, era: this.objects.era});
+		const page = this.pageOf(kind);
+		return ok(hasChanged() ? page : {...page, objects: []});
+	}
+
+	private pageOf(kind: string) {
+		const {era, storeRevision: revision} = this.objects;
+		const objects = this.objects.list(kind).map(object => this.toObject(object));
+		return {objects, position: {era, revision}};
+	}
+
+	private toObject({metadata: {name, revision}, spec}: StoredObject) {
+		return {name, spec, position: {era: this.objects.era, revision}};
+	}
+
+	private write(kind: string, name: string, spec: unknown): StoredObject {
+		const known = this.objects.get(kind, name);
+		return known ? this.objects.edit(kind, known, {spec}) : this.objects.add(kind, name, {spec})!;
 	}
 }
 
--- a/packages/testbed/test/store-eras.test.ts
+++ b/packages/testbed/test/store-eras.test.ts
@@ -98,11 +98,11 @@
 	platform.write('medlarsaddle-shared', 'record', 'before');
 	const copied = platform.objects.storeRevision;
 	platform.write('medlarsaddle-shared', 'record', 'lost');
-	const {version} = (await store.get('shared', signal))._unsafeUnwrap();
+	const {position} = (await store.get('shared', signal))._unsafeUnwrap();
 	platform.objects.restore(copied);
 	platform.write('medlarsaddle-shared', 'record', 'written by another node');
 	await store.get('other', signal);
-	const put = await store.put('shared', 'based on what was lost', version, signal);
+	const put = await store.put('shared', 'based on what was lost', position, signal);
 	const found = (await store.get('shared', signal))._unsafeUnwrap();
 	await close();
 	assert.equal(found.value, 'written by another node');
@@ -115,9 +115,9 @@
 	platform.write('medlarsaddle-shared', 'record', 'before');
 	const copied = platform.objects.storeRevision;
 	platform.write('medlarsaddle-shared', 'record', 'lost');
-	const {version} = (await store.get('shared', signal))._unsafeUnwrap();
+	const {position} = (await store.get('shared', signal))._unsafeUnwrap();
 	platform.objects.restore(copied);
-	const watched = (await store.watch('shared', version, signal))._unsafeUnwrap();
+	const watched = (await store.watch('shared', position, signal))._unsafeUnwrap();
 	await close();
 	assert.equal(watched?.value, 'before');
 });
--- a/packages/testbed/test/store.test.ts
+++ b/packages/testbed/test/store.test.ts
@@ -25,14 +25,14 @@
 
 test('an object is created once, replaced at its current revision only, and removed', async () => {
 	const created = await client.create('things', {name: 'a', spec: 1}, signal);
-	const {revision} = created._unsafeUnwrap();
+	const {position} = created._unsafeUnwrap();
 	const repeated = await client.create('things', {name: 'a', spec: 2}, signal);
 	assert.equal(repeated._unsafeUnwrapErr().kind, faultKinds.conflict);
-	const replaced = await client.replace('things', {name: 'a', spec: 3, revision}, signal);
-	assert.ok(replaced._unsafeUnwrap().revision > revision);
-	const outdated = await client.replace('things', {name: 'a', spec: 4, revision}, signal);
+	const replaced = await client.replace('things', {name: 'a', spec: 3, position}, signal);
+	assert.ok(replaced._unsafeUnwrap().position.revision > position.revision);
+	const outdated = await client.replace('things', {name: 'a', spec: 4, position}, signal);
 	assert.equal(outdated._unsafeUnwrapErr().kind, faultKinds.conflict);
-	const rejectedRemoval = await client.remove('things', 'a', revision, signal);
+	const rejectedRemoval = await client.remove('things', 'a', position, signal);
 	assert.equal(rejectedRemoval._unsafeUnwrapErr().kind, faultKinds.conflict);
 	assert.ok((await client.remove('things', 'a', undefined, signal)).isOk());
 	assert.equal((await client.get('things', 'a', signal))._unsafeUnwrap(), undefined);
@@ -54,8 +54,8 @@
 });
 
 test('a watch returns the change it waited for and continues from its revision', async () => {
-	const {revision} = (await client.list('watched', signal))._unsafeUnwrap();
-	const waiting = client.watch('watched', revision, {waitMs: 5000}, signal);
+	const {position} = (await client.list('watched', signal))._unsafeUnwrap();
+	const waiting = client.watch('watched', position, {waitMs: 5000}, signal);
 	platform.write('other', 'x', 1);
 	platform.write('watched', 'x', 1);
 	const result = (await waiting)._unsafeUnwrap();
@@ -64,7 +64,7 @@
 		[['x', 1]],
 	);
 	const unchanged = (
-		await client.watch('watched', result.revision, {waitMs: 0}, signal)
+		await client.watch('watched', result.position, {waitMs: 0}, signal)
 	)._unsafeUnwrap();
 	assert.equal(unchanged.objects.length, 0);
 });
@@ -72,7 +72,7 @@
 test('a watch from a revision outside the history fails, and the objects can be listed again', async () => {
 	platform.write('short', 'x', 1);
 	platform.objects.clearHistory();
-	const expired = await client.watch('short', 1, {waitMs: 0}, signal);
+	const expired = await client.watch('short', {era: 1, revision: 1}, {waitMs: 0}, signal);
 	assert.equal(expired._unsafeUnwrapErr().kind, faultKinds.notFound);
 	assert.equal((await client.list('short', signal))._unsafeUnwrap().objects.length, 1);
 });
@@ -117,6 +117,15 @@
 	});
 }
 
+test('the era is known from any response, also from a refusal', async () => {
+	const {position} = (await client.list('things', signal))._unsafeUnwrap();
+	assert.equal(position.era, platform.objects.era);
+	platform.restore({ageMs: 0, areWatchesCut: false});
+	platform.setFaults({refusals: 1});
+	assert.ok((await client.list('things', signal)).isErr());
+	assert.equal(client.era.current, position.era + 1);
+});
+
 test('a watch finds a change to a record whose history was cleared', async () => {
 	const store = openStore({
 		url: platform.url,
@@ -124,10 +133,11 @@
 		onCall() {},
 		canReach: () => true,
 	});
-	const version = (await store.put('record', {at: 1}, 0, signal))._unsafeUnwrap();
-	await store.put('record', {at: 2}, version, signal);
+	const position = (await store.put('record', {at: 1}, undefined, signal))._unsafeUnwrap();
+	await store.put('record', {at: 2}, position, signal);
 	platform.objects.clearHistory();
-	const result = (await store.watch('record', version - 1, signal))._unsafeUnwrap();
+	const before = {...position, revision: position.revision - 1};
+	const result = (await store.watch('record', before, signal))._unsafeUnwrap();
 	assert.deepEqual(result?.value, {at: 2});
 	await store.close();
 });
