List again when a watch of the store meets another era

What callers saw: worked out, not played: after a restore, hosts keep a configuration that has been replaced, until yet another one is written.

Cause: a watch that outlives a restore goes on from its old revision. The store gives that revision and those before it out again, so the watch skips these changes and then continues behind them.

Evidence: 14 s after a version was confirmed none of 40 hosts held it (store-eras.test.ts).

Whoever watches lists again, as it did after 410. The test now has the bound of the pages, 2 s instead of 14 s, since the watches of all readers end in turn.

--- a/packages/testbed/src/harness/store-fleet.ts
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -182,7 +182,7 @@
 			) => {
 				const page = await this.watch(id, {kind, ...position, ...times, signal});
 				era.note(page.isOk() ? page.value.position.era : 0);
-				return page;
+				return position.era === era.current ? page : err(historyGoneFault);
 			},
 		} as unknown as StoreClient;
 	}
--- a/packages/testbed/test/store-eras.test.ts
+++ b/packages/testbed/test/store-eras.test.ts
@@ -11,9 +11,6 @@
 /** Bound of the platform's pages for a version to be in force. */
 const inForceMs = 2000;
 
-/** Longest time that a watch which outlives a restore waits. */
-const watchMs = 12_000;
-
 /** Time after a restore in which members have to be found through the store again. */
 const findableMs = 3000;
 
@@ -43,7 +40,7 @@
 	fleet.restore({ageMs: inForceMs + 1, areWatchesCut: false});
 	fleet.writeConfiguration();
 	fleet.configure();
-	await fleet.clock.advance(watchMs + inForceMs);
+	await fleet.clock.advance(inForceMs);
 	assert.equal(fleet.shareInForce, 1);
 });
 
--- a/packages/testbed/test/store.test.ts
+++ b/packages/testbed/test/store.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {after, before, beforeEach, test} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
 import {createSystemClock, faultKinds} from '@medlarsaddle/core';
 import {StoreClient, openStore} from '@medlarsaddle/platform';
 import {Platform} from '../src/platform/platform.js';
@@ -126,6 +127,45 @@
 	assert.equal(client.era.current, position.era + 1);
 });
 
+/** Starts a watch that waits while the store is restored to before the change that it has seen. */
+const watchThroughRestore = async (outcomes: boolean[]) => {
+	const {url} = platform;
+	const own = StoreClient.create({
+		url,
+		clock: createSystemClock(),
+		onCall() {},
+		onOutcome: isAnswered => outcomes.push(isAnswered),
+	});
+	const copied = platform.objects.storeRevision;
+	platform.write('outlived', 'x', copied);
+	const {position} = (await own.list('outlived', signal))._unsafeUnwrap();
+	const watched = platform.counts.watch;
+	const waiting = own.watch('outlived', position, {waitMs: 5000}, signal);
+	while (platform.counts.watch === watched) {
+		await setImmediate();
+	}
+
+	platform.objects.restore(copied);
+	return {own, waiting};
+};
+
+test('a watch that outlives a restore and then ends has to list again', async () => {
+	const {own, waiting} = await watchThroughRestore([]);
+	platform.write('outlived', 'x', 'again');
+	platform.write('outlived', 'x', 'later');
+	assert.equal((await waiting)._unsafeUnwrapErr().kind, faultKinds.notFound);
+	own.close();
+});
+
+test('a watch that outlives a restore is given up once another response names the new era', async () => {
+	const outcomes: boolean[] = [];
+	const {own, waiting} = await watchThroughRestore(outcomes);
+	await own.get('other', 'x', signal);
+	assert.equal((await waiting)._unsafeUnwrapErr().kind, faultKinds.notFound);
+	assert.deepEqual(outcomes, [true, true]);
+	own.close();
+});
+
 test('a watch finds a change to a record whose history was cleared', async () => {
 	const store = openStore({
 		url: platform.url,
