--- a/packages/testbed/test/store-eras.test.ts
+++ b/packages/testbed/test/store-eras.test.ts
@@ -61,7 +61,7 @@
 
 	assert.deepEqual(
 		met,
-		[1, 2, 3, 4].map(count => hosts + count),
+		Array.from({length: rounds}, (_, round) => hosts + 1 + round),
 	);
 });
 
