Restore the store among the faults of the soak

Cause: no run of the real programs met a restored store.

The test that counts the kinds of steps now expects 13 instead of 12, since one was added.

--- a/packages/testbed/src/soak/draw-steps.ts
+++ b/packages/testbed/src/soak/draw-steps.ts
@@ -77,6 +77,13 @@
 	forMs,
 });
 
+const restoreStep = ({random, atMs, forMs}: StepOpts): Step => ({
+	kind: 'store-restored',
+	areWatchesCut: random.below(2) === 0,
+	atMs,
+	forMs,
+});
+
 const configureStep = ({atMs}: StepOpts): Step => ({kind: 'configure', atMs, forMs: 0});
 
 /** A kind of step is drawn in proportion to the number of its entries here. */
@@ -96,6 +103,7 @@
 	storeStep('store-slow'),
 	storeStep('store-forgets'),
 	storeStep('store-loses-answers'),
+	restoreStep,
 	configureStep,
 	configureStep,
 ];
--- a/packages/testbed/src/soak/soak.ts
+++ b/packages/testbed/src/soak/soak.ts
@@ -51,6 +51,9 @@
  */
 const slowStoreMs = 800;
 
+/** Age of the copy from which the store is restored, in milliseconds. */
+const restoredAgeMs = 5000;
+
 const storeFaults = {
 	'store-down': {isDown: true},
 	'store-slow': {delayMs: slowStoreMs},
@@ -186,6 +189,13 @@
 			return;
 		}
 
+		if (step.kind === 'store-restored') {
+			this.platform.restore({ageMs: restoredAgeMs, areWatchesCut: step.areWatchesCut});
+			await setTimeout(step.forMs);
+			this.platform.write('config', 'main', soakConfiguration.of(this.version));
+			return;
+		}
+
 		this.platform.setFaults(storeFaults[step.kind]);
 		await setTimeout(step.forMs);
 		this.platform.setFaults({});
--- a/packages/testbed/src/soak/step.ts
+++ b/packages/testbed/src/soak/step.ts
@@ -32,5 +32,6 @@
 				readonly kind: 'pause' | 'kill' | 'stop' | 'reload' | 'drain' | 'crash-upstream';
 		  })
 		| {readonly kind: 'store-down' | 'store-slow' | 'store-forgets' | 'store-loses-answers'}
+		| {readonly kind: 'store-restored'; readonly areWatchesCut: boolean}
 		| {readonly kind: 'configure'}
 	);
--- a/packages/testbed/test/soak.test.ts
+++ b/packages/testbed/test/soak.test.ts
@@ -129,7 +129,7 @@
 	assert.deepEqual(drawSteps({...opts, seed: 7}), drawSteps({...opts, seed: 7}));
 	assert.notDeepEqual(drawSteps({...opts, seed: 7}), drawSteps({...opts, seed: 8}));
 	const kinds = new Set(drawSteps({...opts, seed: 7, lengthMs: 600_000}).map(({kind}) => kind));
-	assert.equal(kinds.size, 12);
+	assert.equal(kinds.size, 13);
 });
 
 for (const {seed, cause} of soakCases) {
