Merge: treat what was learned from the store as worth nothing in another era

In the merge the era meets the roles and the turns of the readers: a position of the store (era and revision) takes the place of the revision.

--- a/packages/testbed/src/harness/store-fleet.ts
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -1,7 +1,13 @@
 import {Fault, type ManualClock, createRandom, faultKinds, hash32} from '@medlarsaddle/core';
 import type {StoreRole} from '@medlarsaddle/members';
 import {type NodeCore, nextTurn} from '@medlarsaddle/node';
-import {type StoreClient, discoverMembers, followConfiguration} from '@medlarsaddle/platform';
+import {
+	type StoreClient,
+	StoreEra,
+	discoverMembers,
+	followConfiguration,
+} from '@medlarsaddle/platform';
+import type {StorePosition} from '@medlarsaddle/records';
 import {err, ok} from 'neverthrow';
 import {ObjectTable} from '../platform/object-table.js';
 import {GossipNetwork} from './gossip-network.js';
@@ -16,6 +22,7 @@
 type WatchTimes = {readonly waitMs: number; readonly patienceMs: number};
 type ListOpts = {readonly isStaleAllowed?: boolean; readonly timeoutMs?: number};
 type TurnTimes = {readonly elapsedMs: number; readonly spacingMs: number};
+type StoredObject = ReturnType<ObjectTable['list']>[number];
 type Spec = {readonly name: string; readonly spec: unknown};
 
 const callMs = 5;
@@ -54,13 +61,16 @@
 	readonly cutOff = new Set<string>();
 	/** Hosts whose watches never report anything, as on a connection that has silently failed. */
 	readonly silent = new Set<string>();
-	private readonly objects = ObjectTable.create();
+	private readonly objects: ObjectTable;
 	private version = 0;
 	/** Watches that began earlier, in monotonic milliseconds, wait on connections that carry nothing. */
 	private silencedBeforeMs = Number.NEGATIVE_INFINITY;
+	/** Number of times that all waiting watches were cut off. */
+	private watchCuts = 0;
 
 	private constructor(private readonly opts: Opts) {
 		this.network = GossipNetwork.create({seed: opts.seed, groupOf: () => 'r'});
+		this.objects = ObjectTable.create(this.network.clock);
 		this.configure();
 	}
 
@@ -87,18 +97,18 @@
 	/** Writes the next version of the configuration, as the operator does. */
 	configure(): void {
 		this.version++;
+		this.writeConfiguration();
+	}
+
+	/** Writes the latest version of the configuration again, as the operator does after a restore. */
+	writeConfiguration(): void {
 		const spec = {
 			version: this.version,
 			limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
 			listeners: [],
 			clusters: [],
 		};
-		const known = this.objects.get('config', 'main');
-		if (known) {
-			this.objects.edit('config', known, {spec});
-		} else {
-			this.objects.add('config', 'main', {spec});
-		}
+		this.write('config', 'main', spec);
 	}
 
 	/** Silences the connections on which watches wait now; new ones work. */
@@ -106,6 +116,12 @@
 		this.silencedBeforeMs = this.clock.monotonic();
 	}
 
+	/** Restores the store from a copy of the given age; waiting watches are cut off or continue. */
+	restore({ageMs, areWatchesCut}: {ageMs: number; areWatchesCut: boolean}): void {
+		this.objects.restore(this.objects.revisionAt(this.clock.monotonic() - ageMs));
+		this.watchCuts += areWatchesCut ? 1 : 0;
+	}
+
 	/** Adds a host without seeds. */
 	add(dataCentre: string, isFirstStart = false): StoreMember {
 		const {clock} = this.network;
@@ -142,31 +158,42 @@
 	}
 
 	private storeFor(id: string): StoreClient {
+		const era = StoreEra.create();
 		const call = async <Value>(kind: string, answer: () => Value, timeoutMs = callTimeoutMs) => {
 			this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
 			await this.clock.sleep(this.unanswered.has(id) ? timeoutMs : callMs);
-			if (this.unanswered.has(id)) {
+			if (this.unanswered.has(id) || this.turnedAway.has(id)) {
 				return err(turnedAwayFault);
 			}
 
-			return this.turnedAway.has(id) ? err(turnedAwayFault) : ok(answer());
+			era.note(this.objects.era);
+			return ok(answer());
 		};
 
-		const listOf = (kind: string) => ({
-			objects: this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec})),
-			revision: this.objects.storeRevision,
-		});
 		return {
+			era,
 			list: async (kind: string, _signal: AbortSignal, opts?: ListOpts) =>
-				call(opts?.isStaleAllowed ? 'list-stale' : 'list', () => listOf(kind), opts?.timeoutMs),
+				call(
+					opts?.isStaleAllowed ? 'list-stale' : 'list',
+					() => this.pageOf(kind),
+					opts?.timeoutMs,
+				),
 			create: async (kind: string, {name, spec}: Spec) =>
-				call('create', () => this.objects.add(kind, name, {spec})),
+				call('create', () => this.toObject(this.write(kind, name, spec))),
 			replace: async (kind: string, {name, spec}: Spec) =>
-				call('replace', () => this.objects.edit(kind, this.objects.get(kind, name)!, {spec})),
+				call('replace', () => this.toObject(this.write(kind, name, spec))),
 			remove: async (kind: string, name: string) =>
 				call('remove', () => this.objects.remove(kind, this.objects.get(kind, name)!)),
-			watch: async (kind: string, revision: number, times: WatchTimes, signal: AbortSignal) =>
-				this.watch(id, {kind, revision, ...times, signal}),
+			watch: async (
+				kind: string,
+				position: StorePosition,
+				times: WatchTimes,
+				signal: AbortSignal,
+			) => {
+				const page = await this.watch(id, {kind, ...position, ...times, signal});
+				era.note(page.isOk() ? page.value.position.era : 0);
+				return position.era === era.current ? page : err(historyGoneFault);
+			},
 		} as unknown as StoreClient;
 	}
 
@@ -181,12 +208,17 @@
 		}: WatchTimes & {kind: string; revision: number; signal: AbortSignal},
 	) {
 		this.calls.set('watch', (this.calls.get('watch') ?? 0) + 1);
+		const {watchCuts} = this;
+		if (revision > this.objects.storeRevision) {
+			return err(historyGoneFault);
+		}
+
 		const startMs = this.clock.monotonic();
 		const endMs = startMs + waitMs;
 		const hasChanged = () => (this.objects.changesAfter(kind, revision) ?? []).length > 0;
 		const isSilenced = () => startMs <= this.silencedBeforeMs;
 		while (this.clock.monotonic() < endMs && !signal.aborted) {
-			if (this.turnedAway.has(id) || this.cutOff.has(id)) {
+			if (this.turnedAway.has(id) || this.cutOff.has(id) || this.watchCuts > watchCuts) {
 				await this.clock.sleep(callMs);
 				return err(turnedAwayFault);
 			}
@@ -207,11 +239,25 @@
 			return err(turnedAwayFault);
 		}
 
-		const objects = hasChanged()
-			? this.objects.list(kind).map(({metadata, spec}) => ({...metadata, spec}))
-			: [];
-		return ok({objects, revision: this.objects.storeRevision});
+		const page = this.pageOf(kind);
+		return ok(hasChanged() ? page : {...page, objects: []});
+	}
+
+	private pageOf(kind: string) {
+		const {era, storeRevision: revision} = this.objects;
+		const objects = this.objects.list(kind).map(object => this.toObject(object));
+		return {objects, position: {era, revision}};
+	}
+
+	private toObject({metadata: {name, revision}, spec}: StoredObject) {
+		return {name, spec, position: {era: this.objects.era, revision}};
+	}
+
+	private write(kind: string, name: string, spec: unknown): StoredObject {
+		const known = this.objects.get(kind, name);
+		return known ? this.objects.edit(kind, known, {spec}) : this.objects.add(kind, name, {spec})!;
 	}
 }
 
 const turnedAwayFault = Fault.of(faultKinds.storeUnavailable, 'turned away', 'wait');
+const historyGoneFault = Fault.of(faultKinds.notFound, 'history gone', 'list again');
