--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -137,6 +137,11 @@
 		return this.roles.hasStoreRole(role, count);
 	}
 
+	/** Members of all data centres that have a role at the store and reach it; see `Roles`. */
+	storeRoleHolders(role: string, count: number): readonly string[] {
+		return this.roles.storeRoleHolders(role, count);
+	}
+
 	/** Milliseconds since the last datagram from a group; -1 when there was none. */
 	sinceLastReceivedMs(group: string): number {
 		const receivedMs = this.lastReceivedMs.get(group);
--- a/packages/members/src/roles.ts
+++ b/packages/members/src/roles.ts
@@ -40,15 +40,30 @@
 		return this.cached(`store ${role}`, () => {
 			const dataCentre = this.table.get(this.selfId)?.dataCentre;
 			const local = this.table.alive.filter(member => member.dataCentre === dataCentre);
-			const able = local.filter(
-				({state, hasLostStore}) => state === memberStates.alive && !hasLostStore,
-			);
+			const able = local.filter(member => isAble(member));
 			const candidates = able.length > 0 ? able : local;
 			const ids = candidates.map(({id}) => id);
 			return rendezvous(role, ids, count).includes(this.selfId);
 		});
 	}
 
+	/**
+	 * IDs of the members of all data centres that have a role at the platform's store and are able to
+	 * reach it, in an order in which those of one data centre stand far apart. Members with the same
+	 * table get the same order.
+	 */
+	storeRoleHolders(role: string, count: number): readonly string[] {
+		const able = this.table.alive.filter(member => isAble(member));
+		const dataCentres = [...new Set(able.map(({dataCentre}) => dataCentre))].toSorted();
+		const holders = dataCentres.map(dataCentre => {
+			const ids = able.filter(member => member.dataCentre === dataCentre).map(({id}) => id);
+			return rendezvous(role, ids, count);
+		});
+		return Array.from({length: count}, (_, index) =>
+			holders.flatMap(ids => ids.slice(index, index + 1)),
+		).flat();
+	}
+
 	/** The holder of a role that exactly one member has. */
 	holderOf(role: string): Member | undefined {
 		const [id] = rendezvous(role, this.ids, 1);
@@ -76,3 +91,7 @@
 		return this.table.alive.map(({id}) => id);
 	}
 }
+
+/** Whether a member can take a role at the platform's store, as far as is known. */
+const isAble = ({state, hasLostStore}: Member): boolean =>
+	state === memberStates.alive && !hasLostStore;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,6 +4,7 @@
 export type {UpstreamProtocol} from './upstream/upstream-protocol.js';
 export type {UpstreamReply} from './upstream/upstream-reply.js';
 export {acceptConnections} from './peers/accept-connections.js';
+export {nextTurn} from './config/next-turn.js';
 export {refusalOf} from './peers/refusal-of.js';
 export {routeStrategy} from './root/route-strategy.js';
 export {Node} from './root/node.js';
--- a/packages/node/src/root/core-of.ts
+++ b/packages/node/src/root/core-of.ts
@@ -1,4 +1,5 @@
 import {events} from '@medlarsaddle/core';
+import {nextTurn} from '../config/next-turn.js';
 import type {Cradle} from './cradle.js';
 import type {NodeCore} from './node-core.js';
 
@@ -40,6 +41,7 @@
 		join: gossip.join,
 		hasRole: (role, count) => gossip.hasRole(role, count),
 		hasStoreRole: (role, count) => gossip.hasStoreRole(role, count),
+		nextStoreTurn: (role, count, times) => nextTurn({gossip, role, count, ...times}),
 		announceStoreLost(isLost) {
 			if ((gossip.self.hasLostStore ?? false) !== isLost) {
 				gossip.updateSelf({hasLostStore: isLost});
--- a/packages/node/src/root/node-core.ts
+++ b/packages/node/src/root/node-core.ts
@@ -47,6 +47,16 @@
 	 * platform's store; members that have lost the store are passed over.
 	 */
 	readonly hasStoreRole: (role: string, count: number) => boolean;
+	/**
+	 * Milliseconds until the turn of this node among the members of all data centres that have a role
+	 * at the platform's store. `elapsedMs` is the time since an event that they have all seen; from
+	 * then on one of them has its turn every `spacingMs`.
+	 */
+	readonly nextStoreTurn: (
+		role: string,
+		count: number,
+		times: {readonly elapsedMs: number; readonly spacingMs: number},
+	) => number;
 	/** Tells the other members whether the platform's store answers this node. */
 	readonly announceStoreLost: (isLost: boolean) => void;
 	/** Whether callers should send requests to this node. */
