--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -18,6 +18,7 @@
 import {Prober} from './prober.js';
 import {Roles} from './roles.js';
 import type {Rumor} from './rumor.js';
+import type {StoreRole} from './store-role.js';
 import {rumorKinds} from './rumor-kinds.js';
 
 type Opts = {
@@ -132,14 +133,14 @@
 		return this.roles.hasRole(role, count);
 	}
 
-	/** Whether this node is one of the `count` members of its data centre with a role at the store. */
-	hasStoreRole(role: string, count: number): boolean {
-		return this.roles.hasStoreRole(role, count);
+	/** Whether this node is one of the members of its data centre with a role at the store. */
+	hasStoreRole(role: StoreRole): boolean {
+		return this.roles.hasStoreRole(role);
 	}
 
 	/** Members of all data centres that have a role at the store and reach it; see `Roles`. */
-	storeRoleHolders(role: string, count: number): readonly string[] {
-		return this.roles.storeRoleHolders(role, count);
+	storeRoleHolders(role: StoreRole): readonly string[] {
+		return this.roles.storeRoleHolders(role);
 	}
 
 	/** Milliseconds since the last datagram from a group; -1 when there was none. */
--- a/packages/members/src/index.ts
+++ b/packages/members/src/index.ts
@@ -3,6 +3,7 @@
 export type {Member} from './member.js';
 export type {OfferedService} from './offered-service.js';
 export type {Rumor} from './rumor.js';
+export type {StoreRole} from './store-role.js';
 export {Gossip} from './gossip.js';
 export {gossipTiming} from './gossip-timing.js';
 export {MemberTable} from './member-table.js';
--- a/packages/members/src/roles.ts
+++ b/packages/members/src/roles.ts
@@ -2,6 +2,12 @@
 import type {Member} from './member.js';
 import {memberStates} from './member-states.js';
 import type {MemberTable} from './member-table.js';
+import type {StoreRole} from './store-role.js';
+
+const standbysPerMemberInTrouble = 2;
+
+/** Share of members in trouble above which the store fails everyone, and standbys would fail too. */
+const commonTroubleShare = 1 / 3;
 
 /**
  * Assigns roles to a few members of a group. Every node computes them from its own member table
@@ -32,18 +38,19 @@
 	}
 
 	/**
-	 * Whether this node is one of the `count` members of its data centre that have a role at the
-	 * platform's store. Members that are suspect or have lost the store are passed over while others
-	 * remain.
+	 * Whether this node is one of the members of its data centre that have a role at the platform's
+	 * store. Members that are suspect or have lost the store are passed over while others remain. For
+	 * each of them in any data centre, two more members take the role, unless there are many: what has
+	 * befallen one may have befallen all that had it, which takes them a while to find out.
 	 */
-	hasStoreRole(role: string, count: number): boolean {
-		return this.cached(`store ${role}`, () => {
+	hasStoreRole(role: StoreRole): boolean {
+		return this.cached(`store ${role.name}`, () => {
 			const dataCentre = this.table.get(this.selfId)?.dataCentre;
 			const local = this.table.alive.filter(member => member.dataCentre === dataCentre);
 			const able = local.filter(member => isAble(member));
 			const candidates = able.length > 0 ? able : local;
 			const ids = candidates.map(({id}) => id);
-			return rendezvous(role, ids, count).includes(this.selfId);
+			return rendezvous(role.name, ids, this.countOf(role)).includes(this.selfId);
 		});
 	}
 
@@ -52,12 +59,13 @@
 	 * reach it, in an order in which those of one data centre stand far apart. Members with the same
 	 * table get the same order.
 	 */
-	storeRoleHolders(role: string, count: number): readonly string[] {
+	storeRoleHolders(role: StoreRole): readonly string[] {
+		const count = this.countOf(role);
 		const able = this.table.alive.filter(member => isAble(member));
 		const dataCentres = [...new Set(able.map(({dataCentre}) => dataCentre))].toSorted();
 		const holders = dataCentres.map(dataCentre => {
 			const ids = able.filter(member => member.dataCentre === dataCentre).map(({id}) => id);
-			return rendezvous(role, ids, count);
+			return rendezvous(role.name, ids, count);
 		});
 		return Array.from({length: count}, (_, index) =>
 			holders.flatMap(ids => ids.slice(index, index + 1)),
@@ -87,6 +95,14 @@
 		return hasRole;
 	}
 
+	private countOf({count, maxCount}: StoreRole): number {
+		const {alive} = this.table;
+		const inTrouble = alive.filter(member => !isAble(member)).length;
+		return inTrouble > alive.length * commonTroubleShare
+			? count
+			: Math.min(maxCount, count + inTrouble * standbysPerMemberInTrouble);
+	}
+
 	private get ids(): string[] {
 		return this.table.alive.map(({id}) => id);
 	}
--- a/packages/node/src/config/next-turn.ts
+++ b/packages/node/src/config/next-turn.ts
@@ -1,11 +1,9 @@
 import {staggeredWait} from '@medlarsaddle/control';
-import type {Gossip} from '@medlarsaddle/members';
+import type {Gossip, StoreRole} from '@medlarsaddle/members';
 
 type Turn = {
 	readonly gossip: Gossip;
-	/** Role at the platform's store, and the number of members of each data centre that have it. */
-	readonly role: string;
-	readonly count: number;
+	readonly role: StoreRole;
 	/** Time since an event that all holders of the role have seen at about the same time. */
 	readonly elapsedMs: number;
 	/** Time between the turns of one holder and the next. */
@@ -17,10 +15,10 @@
  * the platform's store. A node that is not among them takes the first turn.
  *
  * @example
- * const waitMs = nextTurn({gossip, role: 'configuration', count: 2, elapsedMs, spacingMs: 500});
+ * const waitMs = nextTurn({gossip, role: reader, elapsedMs, spacingMs: 500});
  */
-export const nextTurn = ({gossip, role, count, elapsedMs, spacingMs}: Turn): number => {
-	const holders = gossip.storeRoleHolders(role, count);
+export const nextTurn = ({gossip, role, elapsedMs, spacingMs}: Turn): number => {
+	const holders = gossip.storeRoleHolders(role);
 	const slot = Math.max(0, holders.indexOf(gossip.self.id));
 	return staggeredWait({elapsedMs, slot, holders: Math.max(1, holders.length), spacingMs});
 };
--- a/packages/node/src/root/core-of.ts
+++ b/packages/node/src/root/core-of.ts
@@ -40,8 +40,8 @@
 		},
 		join: gossip.join,
 		hasRole: (role, count) => gossip.hasRole(role, count),
-		hasStoreRole: (role, count) => gossip.hasStoreRole(role, count),
-		nextStoreTurn: (role, count, times) => nextTurn({gossip, role, count, ...times}),
+		hasStoreRole: role => gossip.hasStoreRole(role),
+		nextStoreTurn: (role, times) => nextTurn({gossip, role, ...times}),
 		announceStoreLost(isLost) {
 			if ((gossip.self.hasLostStore ?? false) !== isLost) {
 				gossip.updateSelf({hasLostStore: isLost});
--- a/packages/node/src/root/node-core.ts
+++ b/packages/node/src/root/node-core.ts
@@ -1,5 +1,5 @@
 import type {Clock, Fault, Log, Random} from '@medlarsaddle/core';
-import type {Address, Member} from '@medlarsaddle/members';
+import type {Address, Member, StoreRole} from '@medlarsaddle/members';
 import type {RouteTable, Section} from '@medlarsaddle/policy';
 import type {CallOutcome} from '@medlarsaddle/wire';
 import type {z} from 'zod';
@@ -43,18 +43,17 @@
 	/** Whether this node is one of the `count` members that have a role. */
 	readonly hasRole: (role: string, count: number) => boolean;
 	/**
-	 * Whether this node is one of the `count` members of its data centre that have a role at the
-	 * platform's store; members that have lost the store are passed over.
+	 * Whether this node is one of the members of its data centre that have a role at the platform's
+	 * store; members that have lost the store are passed over.
 	 */
-	readonly hasStoreRole: (role: string, count: number) => boolean;
+	readonly hasStoreRole: (role: StoreRole) => boolean;
 	/**
 	 * Milliseconds until the turn of this node among the members of all data centres that have a role
 	 * at the platform's store. `elapsedMs` is the time since an event that they have all seen; from
 	 * then on one of them has its turn every `spacingMs`.
 	 */
 	readonly nextStoreTurn: (
-		role: string,
-		count: number,
+		role: StoreRole,
 		times: {readonly elapsedMs: number; readonly spacingMs: number},
 	) => number;
 	/** Tells the other members whether the platform's store answers this node. */
--- a/packages/testbed/test/store-calls.test.ts
+++ b/packages/testbed/test/store-calls.test.ts
@@ -3,6 +3,7 @@
 import {StoreFleet} from '../src/harness/store-fleet.js';
 
 const dataCentres = 5;
+const reader = {name: 'configuration', count: 2, maxCount: 2};
 
 /** Time in which a fleet that starts at once has to know its members and the configuration. */
 const startMs = 10_000;
@@ -92,6 +93,26 @@
 	assert.equal(fleet.shareInForce, 1);
 });
 
+test('a version is late everywhere because the store has stopped answering most hosts', async () => {
+	for (const seed of [0, 1, 2, 3, 4, 5]) {
+		const fleet = StoreFleet.start({seed, dataCentres: 3, hosts: 13});
+		await fleet.clock.advance(startMs);
+		fleet.configure();
+		await fleet.clock.advance(500);
+		const members = fleet.network.members.map(({gossip}) => gossip);
+		const others = members.filter(gossip => !gossip.hasStoreRole(reader));
+		const spared = new Set(others.slice(seed, seed + 2));
+		for (const {self} of members.filter(gossip => !spared.has(gossip))) {
+			fleet.unanswered.add(self.id);
+		}
+
+		await fleet.clock.advance(600);
+		fleet.configure();
+		await fleet.clock.advance(inForceMs);
+		assert.equal(fleet.shareInForce, 1, `seed ${seed}`);
+	}
+});
+
 test('a version is late everywhere because all watches wait on silent connections', async () => {
 	const fleet = await startFleet(60);
 	for (const sinceChangeMs of [300, 900, 2100, 5300]) {
