--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -9,6 +9,7 @@
 } from '@medlarsaddle/control';
 import type {Route} from '@medlarsaddle/policy';
 import {type CallOutcome, type CallRequest, runStates} from '@medlarsaddle/wire';
+import {type Result, err, ok} from 'neverthrow';
 import type {Config} from '../config/config.js';
 import {refusalOf} from '../peers/refusal-of.js';
 import type {LoadTracker} from '../upstream/load-tracker.js';
@@ -39,7 +40,7 @@
  * and sends the request to an endpoint.
  *
  * @example
- * const outcome = await forwarder.forward(incoming, signal);
+ * const forwarded = await forwarder.forward(incoming, signal);
  */
 export class Forwarder {
 	/** Creates a forwarder. */
@@ -59,8 +60,14 @@
 		});
 	}
 
-	/** Forwards a request and returns its answer or refusal. */
-	async forward(incoming: IncomingRequest, signal: AbortSignal): Promise<CallOutcome> {
+	/**
+	 * Forwards a request and returns its answer or refusal. It is a fault of the request itself when
+	 * no route of the configuration in force takes it; a refusal never is, whatever its kind.
+	 */
+	async forward(
+		incoming: IncomingRequest,
+		signal: AbortSignal,
+	): Promise<Result<CallOutcome, Fault>> {
 		const {clock, log, config, onEnded} = this.opts;
 		const startMs = clock.monotonic();
 		const {routes} = config.policy;
@@ -86,7 +93,7 @@
 			budgetMs: incoming.remainingMs === undefined ? undefined : Math.round(incoming.remainingMs),
 			tookMs: Math.round(elapsedMs),
 		});
-		return outcome;
+		return routes && !route ? err(forwardFaults.noRoute) : ok(outcome);
 	}
 
 	private async sendByRoute(
--- a/packages/node/src/calls/incoming-request.ts
+++ b/packages/node/src/calls/incoming-request.ts
@@ -2,7 +2,7 @@
  * A request that has been read and is to be routed by host and path.
  *
  * @example
- * const outcome = await forwarder.forward(incoming, signal);
+ * const forwarded = await forwarder.forward(incoming, signal);
  */
 export type IncomingRequest = {
 	/** ID that the caller gave this attempt of its request. */
--- a/packages/node/src/root/node-core.ts
+++ b/packages/node/src/root/node-core.ts
@@ -2,6 +2,7 @@
 import type {Address, Member} from '@medlarsaddle/members';
 import type {RouteTable, Section} from '@medlarsaddle/policy';
 import type {CallOutcome} from '@medlarsaddle/wire';
+import type {Result} from 'neverthrow';
 import type {z} from 'zod';
 import type {IncomingRequest} from '../calls/incoming-request.js';
 import type {announcement} from '../upstream/announcement.js';
@@ -11,7 +12,7 @@
  * Interface of a node for the parts that are attached to it, such as an adapter to a platform.
  *
  * @example
- * const outcome = await core.forward(incoming, signal);
+ * const forwarded = await core.forward(incoming, signal);
  */
 export type NodeCore = {
 	readonly settings: Settings;
@@ -30,8 +31,11 @@
 	readonly applySection: (section: Section, source: string) => boolean;
 	/** Calls the listener after each section that comes into force, until the signal aborts. */
 	readonly onSection: (listener: (section: Section) => void, signal: AbortSignal) => void;
-	/** Forwards a request by the routes in force. */
-	readonly forward: (incoming: IncomingRequest, signal: AbortSignal) => Promise<CallOutcome>;
+	/** Forwards a request by the routes in force; a fault when none of them takes it. */
+	readonly forward: (
+		incoming: IncomingRequest,
+		signal: AbortSignal,
+	) => Promise<Result<CallOutcome, Fault>>;
 	/** Sets the announcement of the upstream on this host. */
 	readonly announceUpstream: (announced: z.infer<typeof announcement>) => void;
 	/** Latest announcement of the upstream on this host; undefined when there is none. */
