Review case 5: an endpoint that has left is used again after a restart

Cause: only the first report after a start of the process is checked with the endpoint. Added a script in which two late reports arrive after a kill and a restart; requests reach the endpoint long after its leaving was confirmed (DRAIN).

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/case.mjs"
