--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -10,6 +10,9 @@
 const times = 3;
 const pauseMs = 6000;
 
+/** TROUBLE=0 runs the case without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const bed = await Bed.start(path.dirname(fileURLToPath(import.meta.url)));
 try {
 	const answerOf = id => `prices for ${id}; `.repeat(40);
@@ -64,7 +67,7 @@
 	}, 50);
 	for (let count = 0; count < times; count++) {
 		await bed.sleep(pauseMs);
-		const silent = bed.hasTrouble ? [...open].filter(() => Math.random() < silentShare) : [];
+		const silent = hasTrouble ? [...open].filter(() => Math.random() < silentShare) : [];
 		for (const each of silent) {
 			each.isSilent = true;
 			bed.note(`the connection to the endpoint that carries ${each.id} goes silent`);
--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -77,7 +77,6 @@
 	constructor(folder, store) {
 		this.folder = folder;
 		this.store = store;
-		this.hasTrouble = process.env.TROUBLE !== '0';
 		this.temporary = mkdtempSync(path.join(tmpdir(), 'review-'));
 		process.on('exit', () => {
 			for (const {child} of this.machines) {
