An answer cut off by the node itself is not passed on as whole

Cause: ByteReader said "end" in the same way whether the peer had ended the connection, it had failed, or this process had stopped reading. A body without a length is whole when its connection ends, so the close at the deadline, on silence, when the caller leaves, or of a replaced pool made half an answer whole.

Ruled out: a reset by the upstream (told apart before, and tested) and bytes that the upstream itself cut; the case sends none of either.

Change: the reader holds how its bytes ended as one value, and only an end by the peer ends a body without a length. A connection that this process closed no longer counts towards a crash of the upstream. MS6005 tells which answers were given up, after how many bytes and why; no line told it before.

The tests failed before, with "the half was passed on as a whole answer": - an answer without a length is rejected when its call is given up on the way - an answer without a length is rejected when this process closes its connection `hasAborted` of the silence detector became `abortReason`; its tests check the same moments and the reason as well.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -66,6 +66,7 @@
 	requestRejected: define('MS6002', 'warn', 'request was rejected before it was forwarded'),
 	requestEnded: define('MS6001', 'info', 'request ended'),
 	callRefused: define('MS6003', 'info', 'call was refused by the node of its upstream'),
+	callFailed: define('MS6005', 'info', 'call got no whole answer from its upstream'),
 	callRetried: define('MS6004', 'info', 'call is retried at another endpoint'),
 	reportTooLarge: define('MS5001', 'warn', 'counts for the report do not fit their store object'),
 } as const;
--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -5,6 +5,7 @@
 	HttpConnection,
 	type OutgoingRequest,
 	messageFaults,
+	streamEndings,
 } from '@medlarsaddle/streams';
 import {type Result, err, ok} from 'neverthrow';
 import type {Answer} from '@medlarsaddle/wire';
@@ -15,6 +16,10 @@
 	readonly mayHaveRun: boolean;
 	/** Whether the connection was closed by the upstream. */
 	readonly wasClosed: boolean;
+	/** Bytes of the answer that had come. */
+	readonly receivedBytes: number;
+	/** How the connection ended; undefined while it was open. */
+	readonly ending: ConnectionError['ending'];
 };
 
 /**
@@ -36,6 +41,11 @@
 		return this.http.lastResponseMs;
 	}
 
+	/** Bytes received since the start of the call that is in flight, or else of the last one. */
+	get receivedBytes(): number {
+		return this.http.receivedBytes;
+	}
+
 	/** Whether another call can be sent on the connection. */
 	get isUsable(): boolean {
 		return this.http.isUsable;
@@ -62,14 +72,15 @@
 }
 
 const failureOf = (error: unknown): Failure => {
-	const {isSent, isAborted, kind} =
-		error instanceof ConnectionError ? error : {isSent: true, isAborted: false, kind: undefined};
+	const {isSent, isAborted, kind, receivedBytes, ending} =
+		error instanceof ConnectionError ? error : unknownDetails;
+	const received = {receivedBytes, ending};
 	if (isAborted) {
-		return {fault: callAborted, mayHaveRun: isSent, wasClosed: false};
+		return {fault: callAborted, mayHaveRun: isSent, wasClosed: false, ...received};
 	}
 
 	if (kind === messageFaults.tooLarge) {
-		return {fault: answerTooLarge, mayHaveRun: true, wasClosed: false};
+		return {fault: answerTooLarge, mayHaveRun: true, wasClosed: false, ...received};
 	}
 
 	const fault = Fault.of(
@@ -77,9 +88,18 @@
 		`The upstream did not answer (${errorText(error)})`,
 		'Look at the upstream on this host',
 	);
-	return {fault, mayHaveRun: isSent, wasClosed: kind === messageFaults.cutShort};
+	const wasClosed = kind === messageFaults.cutShort && ending !== streamEndings.stopped;
+	return {fault, mayHaveRun: isSent, wasClosed, ...received};
 };
 
+const unknownDetails = {
+	isSent: true,
+	isAborted: false,
+	kind: undefined,
+	receivedBytes: 0,
+	ending: undefined,
+} as const;
+
 const answerTooLarge = Fault.of(
 	faultKinds.tooLarge,
 	'The answer is larger than this node passes on',
--- a/packages/node/src/upstream/execute.ts
+++ b/packages/node/src/upstream/execute.ts
@@ -1,4 +1,4 @@
-import {type Fault, faultKinds} from '@medlarsaddle/core';
+import {type Fault, type Log, events, faultKinds} from '@medlarsaddle/core';
 import type {Admission} from '@medlarsaddle/control';
 import {type CallOutcome, type CallRequest, type Refusal, runStates} from '@medlarsaddle/wire';
 import type {CrashDetector} from './crash-detector.js';
@@ -10,6 +10,7 @@
 import type {UpstreamProtocol} from './upstream-protocol.js';
 
 type Deps = {
+	readonly log: Log;
 	readonly inFlight: InFlightCalls;
 	readonly silenceDetector: SilenceDetector;
 	readonly crashDetector: CrashDetector;
@@ -34,10 +35,11 @@
  * const {call, result} = await execute(deps, request, signal);
  */
 export const execute = async (
-	{inFlight, silenceDetector, crashDetector, admission, pool, protocol, instance, onReplaced}: Deps,
+	deps: Deps,
 	request: CallRequest,
 	signal: AbortSignal,
 ): Promise<Executed> => {
+	const {inFlight, silenceDetector, crashDetector, admission, pool, protocol, instance} = deps;
 	const connection = await pool.acquire(!request.idempotent);
 	const {token, call} = inFlight.open(request, signal);
 	const baselineMs = request.idempotent ? admission.baselineMs(request.job) : undefined;
@@ -76,7 +78,7 @@
 
 		pool.release(connection);
 		if (reply.isOtherInstance) {
-			onReplaced();
+			deps.onReplaced();
 		}
 
 		return {call, result: refusal(proxyFaults.rejected, runStates.notRun)};
@@ -84,17 +86,26 @@
 
 	pool.release(connection);
 	admission.release(request.job);
-	const {fault, mayHaveRun, wasClosed} = answer.error;
+	const {fault, mayHaveRun, wasClosed, receivedBytes, ending} = answer.error;
+	const reason = watch.abortReason();
+	deps.log(events.callFailed, {
+		request: request.rootId,
+		service: request.service,
+		reason,
+		ending,
+		receivedBytes,
+		error: fault.what,
+		tookMs: Math.round(call.heldMs),
+	});
 	if (wasClosed) {
 		crashDetector.noteLost(request);
 	}
 
-	const isTimedOut = watch.hasAborted();
 	return {
 		call,
 		result: {
 			kind: 'refusal',
-			fault: isTimedOut ? faultKinds.deadlineExceeded : fault.kind,
+			fault: reason === undefined ? fault.kind : faultKinds.deadlineExceeded,
 			what: fault.what,
 			remedy: fault.remedy,
 			run: mayHaveRun ? runStates.unknown : runStates.notRun,
--- a/packages/node/src/upstream/silence-detector.ts
+++ b/packages/node/src/upstream/silence-detector.ts
@@ -1,7 +1,10 @@
 import type {Clock} from '@medlarsaddle/core';
+import {abortReasons} from './abort-reasons.js';
 import type {InFlightCall} from './in-flight-call.js';
 import type {ConnectionPool} from './connection-pool.js';
 
+type AbortReason = (typeof abortReasons)[keyof typeof abortReasons];
+
 type Watched = {
 	readonly call: InFlightCall;
 	readonly pool: ConnectionPool;
@@ -55,8 +58,8 @@
 
 	/** Watches a call until `stop` is called. */
 	watch({call, pool, baselineMs, signal, abort}: Watched): {
-		/** Whether the call was aborted. */
-		readonly hasAborted: () => boolean;
+		/** Why the call was aborted; undefined when it was not. */
+		readonly abortReason: () => AbortReason | undefined;
 		readonly stop: () => void;
 	} {
 		const {clock} = this;
@@ -64,13 +67,17 @@
 			baselineMs === undefined
 				? Number.POSITIVE_INFINITY
 				: Math.max(minSilenceTimeoutMs, baselineMs * silenceTimeoutFactor);
-		let hasAborted = false;
+		let abortReason: AbortReason | undefined;
 		let stopTimer = () => {};
-		const abortCall = () => {
-			hasAborted = true;
+		const abortCall = (reason: AbortReason) => {
+			abortReason ??= reason;
 			abort();
 		};
 
+		const onCallerLeft = () => {
+			abortCall(abortReasons.callerLeft);
+		};
+
 		const scheduleCheck = () => {
 			const leftMs = call.deadlineMs + answerGraceMs - clock.monotonic();
 			stopTimer = clock.after(Math.max(1, Math.min(silenceTimeoutMs, leftMs)), () => {
@@ -80,26 +87,26 @@
 
 		const check = async () => {
 			if (clock.monotonic() >= call.deadlineMs + answerGraceMs) {
-				abortCall();
+				abortCall(abortReasons.deadline);
 			} else if (call.ownMs >= silenceTimeoutMs && (await this.isSilent(call, pool))) {
 				pool.requireProbes();
-				abortCall();
+				abortCall(abortReasons.silence);
 			} else {
 				scheduleCheck();
 			}
 		};
 
 		scheduleCheck();
-		signal.addEventListener('abort', abortCall, {once: true});
+		signal.addEventListener('abort', onCallerLeft, {once: true});
 		if (signal.aborted) {
-			abortCall();
+			onCallerLeft();
 		}
 
 		return {
-			hasAborted: () => hasAborted,
+			abortReason: () => abortReason,
 			stop() {
 				stopTimer();
-				signal.removeEventListener('abort', abortCall);
+				signal.removeEventListener('abort', onCallerLeft);
 			},
 		};
 	}
--- a/packages/node/src/upstream/upstream-proxy.ts
+++ b/packages/node/src/upstream/upstream-proxy.ts
@@ -222,7 +222,7 @@
 		try {
 			this.startedCalls++;
 			loadTracker.noteStarted(job);
-			const {inFlight, protocol} = this.opts;
+			const {inFlight, log, protocol} = this.opts;
 			const {silenceDetector, crashDetector} = this;
 			const {instance} = current.announcement;
 			const onReplaced = () => {
@@ -233,6 +233,7 @@
 			};
 
 			const deps = {
+				log,
 				inFlight,
 				silenceDetector,
 				crashDetector,
--- a/packages/node/test/connection.test.ts
+++ b/packages/node/test/connection.test.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import net from 'node:net';
 import {test} from 'node:test';
-import {createSystemClock} from '@medlarsaddle/core';
+import {createSystemClock, faultKinds} from '@medlarsaddle/core';
 import {Connection} from '../src/upstream/connection.js';
 
 // An answer without a length ends with its connection. These tests guard against a reset or early
@@ -151,6 +151,70 @@
 	});
 }
 
+// A connection that goes silent under an answer without a length is closed by this process, at the
+// call's deadline or when the upstream is replaced. That end was taken for the end of the answer.
+const givenUp: ReadonlyArray<{
+	readonly name: string;
+	readonly giveUp: (connection: Connection) => void;
+	readonly fault: string;
+}> = [
+	{
+		name: 'an answer without a length is rejected when its call is given up on the way',
+		giveUp(connection) {
+			connection.abort();
+		},
+		fault: faultKinds.cancelled,
+	},
+	{
+		name: 'an answer without a length is rejected when this process closes its connection',
+		giveUp(connection) {
+			connection.destroy();
+		},
+		fault: faultKinds.upstreamFailed,
+	},
+];
+
+const half = 'HTTP/1.1 200 OK\r\n\r\nhalf';
+
+for (const {name, giveUp, fault} of givenUp) {
+	test(name, async t => {
+		const server = net.createServer(socket => {
+			socket.on('error', () => {});
+			socket.once('data', () => {
+				socket.write(half);
+			});
+		});
+		t.after(() => server.close());
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as net.AddressInfo;
+		const connection = Connection.create({
+			origin: `http://127.0.0.1:${port}`,
+			clock: createSystemClock(),
+			maxBodyBytes: 1000,
+			connectTimeoutMs: 1000,
+		});
+		const sending = connection.send({
+			method: 'GET',
+			path: '/',
+			headers: [],
+			body: new Uint8Array(),
+		});
+		while (connection.receivedBytes < half.length) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		giveUp(connection);
+		const answer = await sending;
+		assert.ok(answer.isErr(), 'the half was passed on as a whole answer');
+		assert.equal(answer.error.fault.kind, fault);
+		assert.equal(answer.error.wasClosed, false);
+		assert.equal(answer.error.receivedBytes, half.length);
+	});
+}
+
 // An upstream in trouble may send a second copy of an answer at any time; the next call on the
 // connection would take it for its own.
 test('a connection on which bytes arrive between two calls is not used again', async () => {
--- a/packages/streams/src/byte-reader.ts
+++ b/packages/streams/src/byte-reader.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import {MessageError} from './message-error.js';
 import {messageFaults} from './message-faults.js';
+import {streamEndings} from './stream-endings.js';
 
 /** Received bytes above which the socket is paused until they are read. */
 const maxBufferedBytes = 256 * 1024;
@@ -9,10 +10,11 @@
 const lineFeed = 10;
 
 type Chunk = Buffer | undefined;
+type Ending = (typeof streamEndings)[keyof typeof streamEndings];
 
 /**
  * Reads the bytes of a connection in order, for one task. Every method resolves with `undefined`
- * when the connection ends first; `wasReset` then tells whether it ended with an error.
+ * when the bytes end first; `ending` then tells whether they were all that the peer sent.
  *
  * @example
  * const reader = ByteReader.over(socket);
@@ -26,36 +28,33 @@
 
 	private pending: Buffer = empty;
 	private waiting: ((chunk: Chunk) => void) | undefined;
-	private hasEnded = false;
-	private wasStopped = false;
-	private hadError = false;
+	private endedBy: Ending | undefined;
+	private receivedCount = 0;
 
 	private constructor(private readonly socket: Socket) {
 		socket.on('data', this.receive);
 		socket.on('error', () => {
-			this.hadError = true;
+			this.end(streamEndings.reset);
 		});
 		socket.on('end', () => {
 			// A reset right after data is reported as an end, but leaves no remote address.
-			this.hadError ||= socket.remoteAddress === undefined;
-			this.end();
+			const isReset = socket.remoteAddress === undefined;
+			this.end(isReset ? streamEndings.reset : streamEndings.finished);
+		});
+		socket.on('close', () => {
+			// Without an end or an error before it, this process has destroyed the socket.
+			this.end(this.endedBy ?? streamEndings.stopped);
 		});
-		socket.on('close', this.end);
-	}
-
-	/** Whether the connection ended with an error, so that bytes before its end may be missing. */
-	get wasReset(): boolean {
-		return this.hadError;
 	}
 
-	/** Whether the peer has ended the connection; received bytes may still be unread. */
-	get isEnded(): boolean {
-		return this.hasEnded;
+	/** How the bytes have ended; undefined before. Received bytes may still be unread. */
+	get ending(): Ending | undefined {
+		return this.endedBy;
 	}
 
-	/** Whether `stop` was called. */
-	get isStopped(): boolean {
-		return this.wasStopped;
+	/** Number of bytes received since the start, read or not. */
+	get receivedBytes(): number {
+		return this.receivedCount;
 	}
 
 	/** Number of received bytes that are unread. */
@@ -83,9 +82,8 @@
 
 	/** Discards unread bytes and all that follow; reading then resolves as at the end. */
 	stop(): void {
-		this.wasStopped = true;
 		this.pending = empty;
-		this.end();
+		this.end(streamEndings.stopped);
 	}
 
 	/** Reads whatever has been received, or waits for the next bytes. */
@@ -149,10 +147,11 @@
 	}
 
 	private readonly receive = (chunk: Buffer): void => {
-		if (this.wasStopped) {
+		if (this.endedBy === streamEndings.stopped) {
 			return;
 		}
 
+		this.receivedCount += chunk.length;
 		this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
 		if (this.pending.length > maxBufferedBytes) {
 			this.socket.pause();
@@ -161,10 +160,14 @@
 		this.settle(chunk);
 	};
 
-	private readonly end = (): void => {
-		this.hasEnded = true;
+	/** Ends reading. A later failure or stop replaces an end by the peer, as unread bytes are lost. */
+	private end(ending: Ending): void {
+		if (this.endedBy === undefined || this.endedBy === streamEndings.finished) {
+			this.endedBy = ending;
+		}
+
 		this.settle(undefined);
-	};
+	}
 
 	private settle(chunk: Chunk): void {
 		const {waiting} = this;
@@ -180,7 +183,7 @@
 
 	/** Waits for further bytes; false when the connection has ended. */
 	private async receiveMore(): Promise<boolean> {
-		if (this.hasEnded) {
+		if (this.endedBy !== undefined) {
 			return false;
 		}
 
--- a/packages/streams/src/http-connection.ts
+++ b/packages/streams/src/http-connection.ts
@@ -32,10 +32,16 @@
 	private isSending = false;
 	private isClosed = false;
 	private isAborted = false;
+	private receivedBefore = 0;
 	private usableUntilMs = Number.POSITIVE_INFINITY;
 
 	private constructor(private readonly opts: ConnectionOpts) {}
 
+	/** Bytes received since the start of the request that is in flight, or else of the last one. */
+	get receivedBytes(): number {
+		return (this.reader?.receivedBytes ?? 0) - this.receivedBefore;
+	}
+
 	/** Whether another request can be sent on the connection. */
 	get isUsable(): boolean {
 		return !this.isClosed && this.opts.clock.monotonic() < this.usableUntilMs;
@@ -48,6 +54,7 @@
 	 */
 	async send({method, path, headers, body}: OutgoingRequest): Promise<HttpResponse> {
 		this.isSending = true;
+		this.receivedBefore = this.reader?.receivedBytes ?? 0;
 		let isSent = false;
 		try {
 			const {socket, reader} = await this.open();
@@ -67,14 +74,16 @@
 			this.lastResponseMs = this.opts.clock.monotonic();
 			this.setIdleTime(response.headers);
 			// Bytes after the response belong to no request; the next one would take them for its own.
-			if (!keepsAlive || reader.bufferedBytes > 0 || reader.isEnded) {
+			if (!keepsAlive || reader.bufferedBytes > 0 || reader.ending !== undefined) {
 				this.destroy();
 			}
 
 			return response;
 		} catch (error) {
+			const {isAborted, receivedBytes} = this;
+			const ending = this.reader?.ending;
 			this.destroy();
-			throw new ConnectionError(error, {isSent, isAborted: this.isAborted});
+			throw new ConnectionError(error, {isSent, isAborted, receivedBytes, ending});
 		} finally {
 			this.isSending = false;
 		}
--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -14,3 +14,4 @@
 export {readRequest} from './read-request.js';
 export {readResponse} from './read-response.js';
 export {serveRequests} from './serve-requests.js';
+export {streamEndings} from './stream-endings.js';
--- a/packages/streams/src/read-response.ts
+++ b/packages/streams/src/read-response.ts
@@ -5,6 +5,7 @@
 import {messageFaults} from './message-faults.js';
 import {parseHeaders} from './parse-headers.js';
 import {readChunked} from './read-chunked.js';
+import {streamEndings} from './stream-endings.js';
 
 type Opts = {
 	/** Method of the request; a response to HEAD has no body. */
@@ -28,7 +29,7 @@
  * Reads the final response to one request with its whole body; interim responses are skipped.
  *
  * @throws MessageError when the response is malformed, larger than allowed, or cut short. A response
- * without a length is cut short when its connection is reset.
+ * without a length is whole only when the server ends its connection.
  *
  * @example
  * const {response} = await readResponse(reader, {method: 'GET', maxHeadBytes, maxBodyBytes});
@@ -89,14 +90,14 @@
 	return reader.readExactly(length);
 };
 
-/** Reads a body that ends with its connection; undefined when the connection is reset. */
+/** Reads a body that ends with its connection; undefined unless the server ended it. */
 const readToEnd = async (reader: ByteReader, maxBytes: number): Promise<Buffer | undefined> => {
 	const parts: Buffer[] = [];
 	let bytes = 0;
 	for (;;) {
 		const part = await reader.readChunk();
 		if (!part) {
-			return reader.wasReset ? undefined : Buffer.concat(parts);
+			return reader.ending === streamEndings.finished ? Buffer.concat(parts) : undefined;
 		}
 
 		bytes += part.length;
--- a/packages/streams/src/serve-requests.ts
+++ b/packages/streams/src/serve-requests.ts
@@ -10,6 +10,7 @@
 import {receiveRequest} from './receive-request.js';
 import type {RequestLimits} from './request-limits.js';
 import {sendResponse} from './send-response.js';
+import {streamEndings} from './stream-endings.js';
 
 type Received = {
 	readonly req: HttpRequest;
@@ -163,7 +164,7 @@
 		} finally {
 			cancelIdleTimer();
 			signal.removeEventListener('abort', stopWhenIdle);
-			if (reader.isEnded && !reader.isStopped) {
+			if (reader.ending !== undefined && reader.ending !== streamEndings.stopped) {
 				// A caller that has ended its side no longer waits for answers.
 				socket.destroy();
 			}
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@medlarsaddle/core';
-import {ByteReader} from '@medlarsaddle/streams';
+import {ByteReader, streamEndings} from '@medlarsaddle/streams';
 import {frames} from './frames.js';
 import {messageCodec} from './message-codec.js';
 import type {Message} from './message.js';
@@ -79,7 +79,7 @@
 		for (;;) {
 			const chunk = await this.reader.readChunk();
 			if (!chunk) {
-				if (this.reader.wasReset) {
+				if (this.reader.ending === streamEndings.reset) {
 					throw new Error('The connection was reset');
 				}
 
