--- a/xo.config.js
+++ b/xo.config.js
@@ -1,3 +1,4 @@
+import regexp from 'eslint-plugin-regexp';
 import {oneExport} from './tools/one-export.js';
 
 /** @type {import('xo').FlatXoConfig} */
@@ -5,7 +6,7 @@
 	{ignores: ['**/dist/**', 'packages/api/src/generated/**']},
 	{
 		prettier: 'compat',
-		plugins: {local: {rules: {'one-export': oneExport}}},
+		plugins: {local: {rules: {'one-export': oneExport}}, regexp},
 		rules: {
 			// House style: customary short names go before XO's rule.
 			'unicorn/prevent-abbreviations': 'off',
@@ -16,6 +17,9 @@
 				{selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.'},
 			],
 			'local/one-export': 'error',
+			// Bytes from outside meet regular expressions; their work may only grow with the bytes.
+			'regexp/no-super-linear-backtracking': ['error', {report: 'potential'}],
+			'regexp/no-super-linear-move': ['error', {report: 'potential'}],
 			// Tasks await one step after another, and race a timer against what they wait for.
 			'no-await-in-loop': 'off',
 			'unicorn/no-await-expression-member': 'off',
