A message that comes in small pieces is not copied for each of them

What callers would see: a node that answers late or not at all while one connection drips a head, or another node sends a large body.

Cause: the reader of a connection copied all unread bytes for each piece that came, and a link between nodes copied a frame for each of its pieces, so the work grew with the square of the bytes.

Change: unread bytes are kept in a queue that doubles its room, a frame whose length is known is read as a whole, and small pieces of a body share a buffer.

Ruled out: empty lines and bodies that drip in were linear already.

--- a/packages/streams/src/byte-reader.ts
+++ b/packages/streams/src/byte-reader.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import {ByteQueue} from './byte-queue.js';
 import {MessageError} from './message-error.js';
 import {messageFaults} from './message-faults.js';
 import {streamEndings} from './stream-endings.js';
@@ -6,6 +7,9 @@
 /** Received bytes above which the socket is paused until they are read. */
 const maxBufferedBytes = 256 * 1024;
 
+/** Bytes that are waited for before a part of a longer read is taken. */
+const minPartBytes = 64 * 1024;
+
 const carriageReturn = 13;
 const lineFeed = 10;
 
@@ -26,7 +30,7 @@
 		return new ByteReader(socket);
 	}
 
-	private pending: Buffer = empty;
+	private readonly pending = ByteQueue.create();
 	private waiting: ((chunk: Chunk) => void) | undefined;
 	private endedBy: Ending | undefined;
 	private receivedCount = 0;
@@ -62,19 +66,32 @@
 		return this.pending.length;
 	}
 
+	/** Received bytes that are unread; they stay unread. */
+	get unread(): Buffer {
+		return this.pending.bytes;
+	}
+
+	/** Marks this number of bytes as read. */
+	skip(count: number): void {
+		this.pending.take(count);
+	}
+
 	/** Skips line ends and waits for the byte after them; false when the connection ends first. */
 	async skipEmptyLines(): Promise<boolean> {
 		for (;;) {
-			while (this.pending[0] === carriageReturn && this.pending[1] === lineFeed) {
-				this.take(2);
+			const {unread} = this;
+			let end = 0;
+			while (unread[end] === carriageReturn && unread[end + 1] === lineFeed) {
+				end += 2;
 			}
 
-			const isCut = this.pending.length === 1 && this.pending[0] === carriageReturn;
-			if (this.pending.length > 0 && !isCut) {
+			this.skip(end);
+			const isCut = unread.length === end + 1 && unread[end] === carriageReturn;
+			if (unread.length > end && !isCut) {
 				return true;
 			}
 
-			if (!(await this.receiveMore())) {
+			if (!(await this.more())) {
 				return false;
 			}
 		}
@@ -82,17 +99,17 @@
 
 	/** Discards unread bytes and all that follow; reading then resolves as at the end. */
 	stop(): void {
-		this.pending = empty;
+		this.pending.clear();
 		this.end(streamEndings.stopped);
 	}
 
 	/** Reads whatever has been received, or waits for the next bytes. */
 	async readChunk(): Promise<Chunk> {
 		if (this.pending.length > 0) {
-			return this.take(this.pending.length);
+			return this.pending.take(this.pending.length);
 		}
 
-		return (await this.receiveMore()) ? this.take(this.pending.length) : undefined;
+		return (await this.more()) ? this.pending.take(this.pending.length) : undefined;
 	}
 
 	/**
@@ -103,10 +120,10 @@
 	async readUntil(marker: string, maxBytes: number): Promise<Chunk> {
 		let searched = 0;
 		for (;;) {
-			const index = this.pending.indexOf(marker, searched, 'latin1');
+			const index = this.unread.indexOf(marker, searched, 'latin1');
 			if (index !== -1 && index <= maxBytes) {
-				const bytes = this.take(index);
-				this.pending = this.pending.subarray(marker.length);
+				const bytes = this.pending.take(index);
+				this.skip(marker.length);
 				return bytes;
 			}
 
@@ -118,7 +135,7 @@
 			}
 
 			searched = Math.max(0, this.pending.length - marker.length + 1);
-			if (!(await this.receiveMore())) {
+			if (!(await this.more())) {
 				return undefined;
 			}
 		}
@@ -126,24 +143,43 @@
 
 	/** Reads this number of bytes. */
 	async readExactly(count: number): Promise<Chunk> {
-		if (this.pending.length >= count) {
-			return this.take(count);
-		}
-
 		const parts: Buffer[] = [];
 		let missing = count;
 		for (;;) {
-			const part = this.take(Math.min(missing, this.pending.length));
+			const wanted = Math.min(missing, minPartBytes);
+			while (this.pending.length < wanted) {
+				if (!(await this.more())) {
+					return undefined;
+				}
+			}
+
+			const part = this.pending.take(Math.min(missing, this.pending.length));
+			if (part.length === count) {
+				return part;
+			}
+
 			parts.push(part);
 			missing -= part.length;
 			if (missing === 0) {
 				return Buffer.concat(parts);
 			}
+		}
+	}
 
-			if (!(await this.receiveMore())) {
-				return undefined;
-			}
+	/** Waits for further bytes; false when they have ended. */
+	async more(): Promise<boolean> {
+		if (this.endedBy !== undefined) {
+			return false;
 		}
+
+		if (this.socket.isPaused()) {
+			this.socket.resume();
+		}
+
+		const chunk = await new Promise<Chunk>(resolve => {
+			this.waiting = resolve;
+		});
+		return chunk !== undefined;
 	}
 
 	private readonly receive = (chunk: Buffer): void => {
@@ -152,7 +188,7 @@
 		}
 
 		this.receivedCount += chunk.length;
-		this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+		this.pending.append(chunk);
 		if (this.pending.length > maxBufferedBytes) {
 			this.socket.pause();
 		}
@@ -174,28 +210,4 @@
 		this.waiting = undefined;
 		waiting?.(chunk);
 	}
-
-	private take(count: number): Buffer {
-		const bytes = this.pending.subarray(0, count);
-		this.pending = count === this.pending.length ? empty : this.pending.subarray(count);
-		return bytes;
-	}
-
-	/** Waits for further bytes; false when the connection has ended. */
-	private async receiveMore(): Promise<boolean> {
-		if (this.endedBy !== undefined) {
-			return false;
-		}
-
-		if (this.socket.isPaused()) {
-			this.socket.resume();
-		}
-
-		const chunk = await new Promise<Chunk>(resolve => {
-			this.waiting = resolve;
-		});
-		return chunk !== undefined;
-	}
 }
-
-const empty = Buffer.alloc(0);
--- a/packages/streams/src/read-response.ts
+++ b/packages/streams/src/read-response.ts
@@ -1,3 +1,4 @@
+import {BodyParts} from './body-parts.js';
 import type {ByteReader} from './byte-reader.js';
 import {framingOf} from './framing-of.js';
 import type {HttpResponse} from './http-response.js';
@@ -92,20 +93,18 @@
 
 /** Reads a body that ends with its connection; undefined unless the server ended it. */
 const readToEnd = async (reader: ByteReader, maxBytes: number): Promise<Buffer | undefined> => {
-	const parts: Buffer[] = [];
-	let bytes = 0;
+	const parts = BodyParts.create();
 	for (;;) {
 		const part = await reader.readChunk();
 		if (!part) {
-			return reader.ending === streamEndings.finished ? Buffer.concat(parts) : undefined;
+			return reader.ending === streamEndings.finished ? parts.toBuffer() : undefined;
 		}
 
-		bytes += part.length;
-		if (bytes > maxBytes) {
+		if (parts.length + part.length > maxBytes) {
 			throw new MessageError(messageFaults.tooLarge, 'the body is too large; raise the limit');
 		}
 
-		parts.push(part);
+		parts.append(part);
 	}
 };
 
--- /dev/null
+++ b/packages/streams/test/linear-work.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {setImmediate} from 'node:timers/promises';
+import {test} from 'node:test';
+import {ByteReader, readRequest, readResponse} from '../src/index.js';
+import {countCopiedBytes} from './count-copied-bytes.js';
+import {silentSocket} from './silent-socket.js';
+
+// Work that grows faster than the bytes lets one connection stop the process for seconds.
+
+const limits = {maxHeadBytes: 64 * 1024, maxBodyBytes: 1024 * 1024};
+
+/** Copies for each received byte that a reader may make on average. */
+const maxCopies = 4;
+
+/** Delivers a text in pieces, each in a turn of its own. */
+const deliver = async (
+	reader: {readonly emit: (name: 'data', chunk: Buffer) => boolean},
+	text: string,
+	pieceBytes: number,
+) => {
+	for (let start = 0; start < text.length; start += pieceBytes) {
+		reader.emit('data', Buffer.from(text.slice(start, start + pieceBytes), 'latin1'));
+		await setImmediate();
+	}
+};
+
+const slowMessages: ReadonlyArray<{
+	readonly name: string;
+	readonly text: string;
+	readonly read: (reader: ByteReader) => Promise<unknown>;
+}> = [
+	{
+		name: 'the head of a request that drips in',
+		text: `GET / HTTP/1.1\r\nA: ${'b'.repeat(16_000)}\r\n\r\n`,
+		read: async reader => readRequest(reader, limits),
+	},
+	{
+		name: 'empty lines before a request that drip in',
+		text: `${'\r\n'.repeat(8000)}GET / HTTP/1.1\r\n\r\n`,
+		read: async reader => readRequest(reader, limits),
+	},
+	{
+		name: 'a body that drips in',
+		text: `POST / HTTP/1.1\r\nContent-Length: 16000\r\n\r\n${'b'.repeat(16_000)}`,
+		read: async reader => readRequest(reader, limits),
+	},
+	{
+		name: 'a body in chunks of a few bytes that drips in',
+		text: `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'4\r\nabcd\r\n'.repeat(1800)}0\r\n\r\n`,
+		read: async reader => readResponse(reader, {...limits, method: 'GET'}),
+	},
+	{
+		name: 'a trailer that drips in',
+		text: `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ${'b'.repeat(16_000)}\r\n\r\n`,
+		read: async reader => readResponse(reader, {...limits, method: 'GET'}),
+	},
+];
+
+for (const {name, text, read} of slowMessages) {
+	test(`${name} is copied again and again`, async t => {
+		const socket = silentSocket();
+		const reading = read(ByteReader.over(socket));
+		const copiedBytes = countCopiedBytes(t);
+		await deliver(socket, text, 1);
+		assert.ok(await reading);
+		assert.ok(copiedBytes() <= maxCopies * text.length, `${copiedBytes()} bytes copied`);
+	});
+}
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -17,22 +17,37 @@
 		const payloads: Buffer[] = [];
 		let rest = bytes;
 		while (rest.length >= headerBytes) {
-			const length = rest.readUInt32BE(0);
-			if (length === 0 || length > maxFrameBytes) {
-				throw new RangeError(`Frame of ${length} bytes is out of bounds`);
-			}
-
-			if (rest.length < headerBytes + length) {
+			const size = frames.sizeOf(rest)!;
+			if (rest.length < size) {
 				break;
 			}
 
-			payloads.push(rest.subarray(headerBytes, headerBytes + length));
-			rest = rest.subarray(headerBytes + length);
+			payloads.push(frames.payloadOf(rest.subarray(0, size)));
+			rest = rest.subarray(size);
 		}
 
 		return {payloads, rest};
 	},
 
+	/** Size in bytes of the frame that starts here, header included; undefined without its header. */
+	sizeOf(bytes: Buffer): number | undefined {
+		if (bytes.length < headerBytes) {
+			return undefined;
+		}
+
+		const length = bytes.readUInt32BE(0);
+		if (length === 0 || length > maxFrameBytes) {
+			throw new RangeError(`Frame of ${length} bytes is out of bounds`);
+		}
+
+		return headerBytes + length;
+	},
+
+	/** Payload of a whole frame. */
+	payloadOf(frame: Buffer): Buffer {
+		return frame.subarray(headerBytes);
+	},
+
 	write(payload: Uint8Array): Buffer {
 		const frame = Buffer.allocUnsafe(headerBytes + payload.length);
 		frame.writeUInt32BE(payload.length, 0);
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -27,8 +27,6 @@
 	private receivedMs: number;
 	private bytesSent = 0;
 	private readonly reader: ByteReader;
-	/** Bytes of a frame that is not complete yet. */
-	private incomplete: Buffer = Buffer.alloc(0);
 
 	private constructor(
 		private readonly socket: Socket,
@@ -76,25 +74,17 @@
 	 * has ended. Throws on malformed input and when the connection was reset.
 	 */
 	async receive(): Promise<readonly Message[] | undefined> {
-		for (;;) {
-			const chunk = await this.reader.readChunk();
-			if (!chunk) {
-				if (this.reader.ending === streamEndings.reset) {
-					throw new Error('The connection was reset');
-				}
-
-				return undefined;
-			}
+		const payloads = await this.receivePayloads();
+		if (payloads.length > 0) {
+			this.receivedMs = this.clock.monotonic();
+			return payloads.map(payload => messageCodec.decode(payload));
+		}
 
-			const {payloads, rest} = frames.split(
-				this.incomplete.length === 0 ? chunk : Buffer.concat([this.incomplete, chunk]),
-			);
-			this.incomplete = rest;
-			if (payloads.length > 0) {
-				this.receivedMs = this.clock.monotonic();
-				return payloads.map(payload => messageCodec.decode(payload));
-			}
+		if (this.reader.ending === streamEndings.reset) {
+			throw new Error('The connection was reset');
 		}
+
+		return undefined;
 	}
 
 	/** Yields messages as `receive` returns them, until the connection ends. */
@@ -108,4 +98,27 @@
 	close(): void {
 		this.socket.destroy();
 	}
+
+	/** Waits for whole frames and returns the payloads of those that have come; none at the end. */
+	private async receivePayloads(): Promise<readonly Buffer[]> {
+		const {reader} = this;
+		for (;;) {
+			const {unread} = reader;
+			const {payloads, rest} = frames.split(unread);
+			reader.skip(unread.length - rest.length);
+			if (payloads.length > 0) {
+				return payloads;
+			}
+
+			const size = frames.sizeOf(rest);
+			if (size !== undefined) {
+				const frame = await reader.readExactly(size);
+				return frame ? [frames.payloadOf(frame)] : [];
+			}
+
+			if (!(await reader.more())) {
+				return [];
+			}
+		}
+	}
 }
