A body in tiny chunks leaves the event loop to others

What callers would see: a node that answers late while one upstream or caller sends a body in chunks of a few bytes.

Cause: each chunk took three reads and their buffers, and all chunks that had come were read in one turn of the event loop.

--- a/packages/streams/test/linear-work.test.ts
+++ b/packages/streams/test/linear-work.test.ts
@@ -66,3 +66,24 @@
 		assert.ok(copiedBytes() <= maxCopies * text.length, `${copiedBytes()} bytes copied`);
 	});
 }
+
+test('a body in many tiny chunks holds the process until all of them are read', async () => {
+	const socket = silentSocket();
+	const reading = readResponse(ByteReader.over(socket), {...limits, method: 'GET'});
+	const chunks = '4\r\nabcd\r\n'.repeat(60_000);
+	const text = `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`;
+	socket.emit('data', Buffer.from(text, 'latin1'));
+	let turns = 0;
+	const abort = new AbortController();
+	const counting = (async () => {
+		while (!abort.signal.aborted) {
+			await setImmediate();
+			turns++;
+		}
+	})();
+	const {response} = await reading;
+	abort.abort();
+	await counting;
+	assert.equal(response.body.length, 240_000);
+	assert.ok(turns >= 3, `read in ${turns} turns`);
+});
