Soak: answers cut midway, departures before a kill, oversized and dripping heads

Health checks of the stand-in say that it leaves.

Traced: the stand-in ended its connections with its crash (at 63246 ms, the answers at 63258 and 63259), which completes an answer without a length. The platform's upstreams reset theirs, and the stand-in now does.

The test that counts the kinds asks for 15 in place of 13.

--- a/packages/testbed/src/soak/draw-steps.ts
+++ b/packages/testbed/src/soak/draw-steps.ts
@@ -61,7 +61,10 @@
 };
 
 const hostStep =
-	(kind: 'pause' | 'kill' | 'stop' | 'reload' | 'drain' | 'crash-upstream', hasDuration = false) =>
+	(
+		kind: Extract<Step, {host: number}>['kind'] & Exclude<Step['kind'], 'link'>,
+		hasDuration = false,
+	) =>
 	({host, atMs, forMs}: StepOpts): Step => ({kind, host, atMs, forMs: hasDuration ? forMs : 0});
 
 const storeStep =
@@ -98,6 +101,8 @@
 	hostStep('stop'),
 	hostStep('reload'),
 	hostStep('drain'),
+	hostStep('depart-and-kill'),
+	hostStep('spoil'),
 	hostStep('crash-upstream'),
 	storeStep('store-down'),
 	storeStep('store-slow'),
--- a/packages/testbed/src/soak/fault-spans-of.ts
+++ b/packages/testbed/src/soak/fault-spans-of.ts
@@ -2,7 +2,13 @@
 import type {Step} from './step.js';
 
 /** Kinds of step that may interrupt requests. Faults of the store must not interrupt any. */
-const interruptingKinds = new Set<Step['kind']>(['link', 'pause', 'kill', 'crash-upstream']);
+const interruptingKinds = new Set<Step['kind']>([
+	'link',
+	'pause',
+	'kill',
+	'depart-and-kill',
+	'crash-upstream',
+]);
 
 /**
  * The time spans of the steps that may interrupt requests, in monotonic milliseconds.
--- a/packages/testbed/src/soak/find-violations.ts
+++ b/packages/testbed/src/soak/find-violations.ts
@@ -117,6 +117,15 @@
 	});
 };
 
+const answersComeInTime: Check = ({sent, stalls}) =>
+	sent
+		.filter(
+			({host, gaveUp, sentMs, endMs}) =>
+				gaveUp &&
+				!stalls.some(stall => stall.host === host && stall.fromMs < endMs && stall.toMs > sentMs),
+		)
+		.map(({id, host}) => `${id} had no answer long after its deadline at ${host}`);
+
 const plannedStopsInterruptNothing: Check = ({stops, sent, harm}) =>
 	stops
 		.filter(
@@ -144,5 +153,6 @@
 	runsMatchRequests,
 	drainedUpstreamsGetNoCalls,
 	configurationNeverReverts,
+	answersComeInTime,
 	plannedStopsInterruptNothing,
 ];
--- a/packages/testbed/src/soak/soak-host.ts
+++ b/packages/testbed/src/soak/soak-host.ts
@@ -20,6 +20,9 @@
 /** Interval between the liveness reports of an upstream, in milliseconds. */
 const reportIntervalMs = 500;
 
+/** Reports of an upstream that are still on their way when it leaves. */
+const lateReportCount = 3;
+
 /**
  * A host of the soak: the real daemon as a process, an upstream, and a relay on each kind of connection
  * of the daemon. Daemon and upstream can be restarted; the relays keep running.
@@ -63,6 +66,8 @@
 	/** Start number of the last daemon that was sent SIGTERM. */
 	private lastSignalledStart = 0;
 	private isDraining = false;
+	/** Whether the upstream sends no reports of its own, since it has left. */
+	private isReportPaused = false;
 	private pendingTransition: Promise<void> = Promise.resolve();
 
 	private constructor(
@@ -133,6 +138,29 @@
 		this.instanceCount++;
 		this.upstream = await this.opts.startUpstream(this.instance, this.instanceCount);
 		this.isDraining = false;
+		this.isReportPaused = false;
+	}
+
+	/**
+	 * Tells the daemon that the upstream leaves, kills it once it has confirmed that, and lets reports
+	 * from before arrive at its successor. Calls `onConfirmed` with the name of the upstream.
+	 */
+	async restartAfterDeparture(onConfirmed: (instance: string) => void): Promise<void> {
+		this.isReportPaused = true;
+		const {instance, upstream} = this;
+		const lateReports = Array.from({length: lateReportCount}, () =>
+			upstream.writeReport('ready', this.upstreamAddress),
+		);
+		if ((await this.notify(async port => upstream.leave(port))) !== 200) {
+			return;
+		}
+
+		onConfirmed(instance);
+		await this.restartDaemon('SIGKILL');
+		for (const report of lateReports) {
+			await setTimeout(reportIntervalMs);
+			await this.notify(async port => upstream.send(port, report));
+		}
 	}
 
 	/**
@@ -148,7 +176,10 @@
 	/** Reports the upstream periodically until the signal aborts. */
 	async runReportLoop(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			await this.report();
+			if (!this.isReportPaused) {
+				await this.report();
+			}
+
 			await setTimeout(reportIntervalMs);
 		}
 	}
@@ -186,20 +217,33 @@
 		this.startCount++;
 	}
 
+	private get upstreamAddress(): string {
+		return `127.0.0.1:${this.relays.upstream.port}`;
+	}
+
 	/** Sends one liveness report; resolves with false when no daemon accepted it. */
 	private async report(): Promise<boolean> {
+		const state = this.isDraining ? 'draining' : 'ready';
+		const status = await this.notify(async port =>
+			this.upstream.report(port, state, this.upstreamAddress),
+		);
+		return status === 200;
+	}
+
+	/** Sends to the liveness port of the daemon; resolves with the status, undefined without one. */
+	private async notify(
+		send: (livenessPort: number) => Promise<number>,
+	): Promise<number | undefined> {
 		const port = this.daemon?.portOf('liveness');
 		if (port === undefined || !this.isRunning) {
-			return false;
+			return undefined;
 		}
 
 		try {
-			const address = `127.0.0.1:${this.relays.upstream.port}`;
-			const state = this.isDraining ? 'draining' : 'ready';
-			return (await this.upstream.report(port, state, address)) === 200;
+			return await send(port);
 		} catch {
 			// The daemon is stopping or paused; the next periodic report repeats this one.
-			return false;
+			return undefined;
 		}
 	}
 }
--- a/packages/testbed/src/soak/soak-record.ts
+++ b/packages/testbed/src/soak/soak-record.ts
@@ -22,6 +22,8 @@
 	}>;
 	/** Time spans of the steps that may interrupt requests, on any host. */
 	readonly harm: readonly TimeSpan[];
+	/** Time spans of the steps that may leave the callers of a host without an answer. */
+	readonly stalls: ReadonlyArray<TimeSpan & {readonly host: string}>;
 	/** Configuration versions by the route prefix that each of them added. */
 	readonly versions: ReadonlyMap<string, number>;
 };
--- a/packages/testbed/src/soak/soak.ts
+++ b/packages/testbed/src/soak/soak.ts
@@ -5,12 +5,15 @@
 import {drawSteps} from './draw-steps.js';
 import {faultSpansOf} from './fault-spans-of.js';
 import {linkFaults} from './link-faults.js';
+import {oversizedHeads} from './oversized-heads.js';
+import {sendOddRequests} from './send-odd-requests.js';
 import type {SoakRecord} from './soak-record.js';
 import type {UpstreamRun} from './upstream-run.js';
 import type {SentRequest} from './sent-request.js';
 import {runSoakCaller} from './soak-caller.js';
 import {soakConfiguration} from './soak-configuration.js';
 import {SoakHost} from './soak-host.js';
+import {stallSpansOf} from './stall-spans-of.js';
 import {startSoakUpstream} from './soak-upstream.js';
 import type {Step} from './step.js';
 import {waitUntilServed} from './wait-until-served.js';
@@ -90,6 +93,8 @@
 	private readonly runs: UpstreamRun[] = [];
 	private readonly drains: Array<SoakRecord['drains'][number]> = [];
 	private readonly stops: Array<SoakRecord['stops'][number]> = [];
+	/** Answers that the upstream of a host is yet to spoil, by host name. */
+	private readonly spoiltAnswers = new Map<string, string[]>();
 	private readonly versions = new Map<string, number>();
 	private readonly random: Random;
 	private version = 0;
@@ -121,6 +126,7 @@
 						clock,
 						random: this.random,
 						onRun: run => this.runs.push(run),
+						nextSpoiltAnswer: () => this.spoiltAnswers.get(`h${index + 1}`)?.shift(),
 					}),
 			});
 		});
@@ -137,6 +143,8 @@
 		const callerLoops = this.startCallers(signal);
 		const steps = drawSteps({seed, hosts, lengthMs});
 		const harm = faultSpansOf(steps, startMs);
+		const hostNames = this.hosts.map(({name}) => name);
+		const stalls = stallSpansOf(steps, startMs, hostNames);
 		await Promise.all(
 			steps.map(async step => {
 				await setTimeout(step.atMs);
@@ -148,7 +156,7 @@
 		abort.abort();
 		await Promise.all([...callerLoops, ...reportLoops]);
 		const {sent, runs, drains, stops, versions} = this;
-		const record = {sent, runs, drains, stops, harm, versions};
+		const record = {sent, runs, drains, stops, harm, stalls, versions};
 		const logs = new Map(this.hosts.map(({name, log}) => [name, log]));
 		return {violations: [...violations, ...findViolations(record)], steps, record, logs};
 	}
@@ -240,6 +248,19 @@
 				return host.replaceUpstream();
 			}
 
+			case 'spoil': {
+				this.spoiltAnswers.set(host.name, [...oversizedHeads]);
+				return sendOddRequests(host.relays.callers.port);
+			}
+
+			case 'depart-and-kill': {
+				await host.restartAfterDeparture(instance => {
+					this.drains.push({instance, confirmedMs: this.opts.clock.monotonic()});
+				});
+				await setTimeout(drainWaitMs);
+				return host.replaceUpstream();
+			}
+
 			case 'drain': {
 				const instance = await host.drainUpstream();
 				if (instance !== undefined) {
--- a/packages/testbed/src/soak/step.ts
+++ b/packages/testbed/src/soak/step.ts
@@ -29,7 +29,15 @@
 	(
 		| (OnHost & LinkStep)
 		| (OnHost & {
-				readonly kind: 'pause' | 'kill' | 'stop' | 'reload' | 'drain' | 'crash-upstream';
+				readonly kind:
+					| 'pause'
+					| 'kill'
+					| 'stop'
+					| 'reload'
+					| 'drain'
+					| 'depart-and-kill'
+					| 'crash-upstream'
+					| 'spoil';
 		  })
 		| {readonly kind: 'store-down' | 'store-slow' | 'store-forgets' | 'store-loses-answers'}
 		| {readonly kind: 'store-restored'; readonly areWatchesCut: boolean}
--- a/packages/testbed/src/upstream/routed-upstream.ts
+++ b/packages/testbed/src/upstream/routed-upstream.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {once} from 'node:events';
 import {request} from 'undici';
 
@@ -26,7 +26,10 @@
 	readonly executedIds: string[] = [];
 	/** Handler of calls; may be replaced at any time. */
 	handler: CallHandler;
+	/** Whether the upstream has announced that it leaves, which its health check says. */
+	private isLeaving = false;
 	private readonly server: http.Server;
+	private readonly sockets = new Set<Socket>();
 	private seq = 0;
 
 	private constructor(
@@ -38,7 +41,7 @@
 		this.handler = this.answer;
 		this.server = http.createServer((req, res) => {
 			if (req.url === '/health') {
-				res.writeHead(200, {'instance-id': this.id}).end();
+				res.writeHead(this.isLeaving ? 503 : 200, {'instance-id': this.id}).end();
 				return;
 			}
 
@@ -50,6 +53,12 @@
 
 			this.handler(req, res);
 		});
+		this.server.on('connection', socket => {
+			this.sockets.add(socket);
+			socket.on('close', () => {
+				this.sockets.delete(socket);
+			});
+		});
 	}
 
 	/** Address on which the upstream listens. */
@@ -76,24 +85,50 @@
 		state: 'ready' | 'draining' = 'ready',
 		address = this.address,
 	): Promise<number> {
+		this.isLeaving ||= state === 'draining';
+		return this.send(livenessPort, this.writeReport(state, address));
+	}
+
+	/** Writes the next report, which may be sent late. */
+	writeReport(state: 'ready' | 'draining' = 'ready', address = this.address): string {
 		this.seq++;
-		const reply = await request(`http://127.0.0.1:${livenessPort}/-/instances/${this.id}`, {
-			method: 'PUT',
-			headers: {'content-type': 'application/json'},
-			body: JSON.stringify({
-				address,
-				info: {service: this.service, version: 'v1', zone: 'z', slots: 20},
-				status: {state, seq: this.seq, coldLeftMs: 0},
-				born: this.born,
-			}),
+		return JSON.stringify({
+			address,
+			info: {service: this.service, version: 'v1', zone: 'z', slots: 20},
+			status: {state, seq: this.seq, coldLeftMs: 0},
+			born: this.born,
 		});
-		await reply.body.dump();
-		return reply.statusCode;
 	}
 
-	/** Closes all connections and stops listening. */
+	/** Sends a report; resolves with the HTTP status. */
+	async send(livenessPort: number, report: string): Promise<number> {
+		return this.notifyNode(livenessPort, 'PUT', report);
+	}
+
+	/** Tells the node that the upstream leaves; resolves with the HTTP status. It goes on serving. */
+	async leave(livenessPort: number): Promise<number> {
+		this.isLeaving = true;
+		return this.notifyNode(livenessPort, 'DELETE');
+	}
+
+	/** Resets all connections, since an end would complete an answer without a length. */
 	stop(): void {
-		this.server.closeAllConnections();
 		this.server.close();
+		for (const socket of this.sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	private async notifyNode(
+		livenessPort: number,
+		method: 'PUT' | 'DELETE',
+		body?: string,
+	): Promise<number> {
+		const reply = await request(`http://127.0.0.1:${livenessPort}/-/instances/${this.id}`, {
+			method,
+			...(body === undefined ? {} : {headers: {'content-type': 'application/json'}, body}),
+		});
+		await reply.body.dump();
+		return reply.statusCode;
 	}
 }
--- a/packages/testbed/test/soak.test.ts
+++ b/packages/testbed/test/soak.test.ts
@@ -35,6 +35,7 @@
 	drains: [],
 	stops: [],
 	harm: [],
+	stalls: [],
 	versions: new Map([
 		['/only-1/', 1],
 		['/only-2/', 2],
@@ -89,6 +90,11 @@
 		{sent: [servedByVersion(2, 100), servedByVersion(1, 200)], runs: []},
 		/after v-2 had run by version 2/v,
 	],
+	[
+		'has no answer after its deadline',
+		{sent: [{...interruptedRequest, gaveUp: true, endMs: 4500}]},
+		/no answer long after its deadline at h1/v,
+	],
 	[
 		'is interrupted by a planned stop',
 		{sent: [interruptedRequest], stops: [{host: 'h1', life: 1, atMs: 1020}]},
@@ -129,7 +135,7 @@
 	assert.deepEqual(drawSteps({...opts, seed: 7}), drawSteps({...opts, seed: 7}));
 	assert.notDeepEqual(drawSteps({...opts, seed: 7}), drawSteps({...opts, seed: 8}));
 	const kinds = new Set(drawSteps({...opts, seed: 7, lengthMs: 600_000}).map(({kind}) => kind));
-	assert.equal(kinds.size, 13);
+	assert.equal(kinds.size, 15);
 });
 
 for (const {seed, cause} of soakCases) {
