--- a/packages/node/test/connection.test.ts
+++ b/packages/node/test/connection.test.ts
@@ -5,6 +5,8 @@
 import {createSystemClock, faultKinds} from '@medlarsaddle/core';
 import {Connection} from '../src/upstream/connection.js';
 
+const call = {method: 'GET', path: '/', headers: [], body: new Uint8Array()};
+
 // An answer without a length ends with its connection. These tests guard against a reset or early
 // close being taken for that end, which would pass on a truncated answer as complete.
 type Case = {
@@ -105,6 +107,19 @@
 	},
 ];
 
+/** Lets a server listen and returns a connection to it. */
+async function connectTo(server: net.Server): Promise<Connection> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as net.AddressInfo;
+	return Connection.create({
+		origin: `http://127.0.0.1:${port}`,
+		clock: createSystemClock(),
+		maxBodyBytes: 1000,
+		connectTimeoutMs: 1000,
+	});
+}
+
 /** Writes the piece again and again, as fast as it is read, until the connection is closed. */
 function writeWithoutEnd(start: string, piece: string) {
 	return (socket: net.Socket) => {
@@ -129,21 +144,8 @@
 				serve(socket);
 			});
 		});
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const {port} = server.address() as net.AddressInfo;
-		const connection = Connection.create({
-			origin: `http://127.0.0.1:${port}`,
-			clock: createSystemClock(),
-			maxBodyBytes: 1000,
-			connectTimeoutMs: 1000,
-		});
-		const answer = await connection.send({
-			method: 'GET',
-			path: '/',
-			headers: [],
-			body: new Uint8Array(),
-		});
+		const connection = await connectTo(server);
+		const answer = await connection.send(call);
 		const text = answer.isOk() ? Buffer.from(answer.value.body).toString() : undefined;
 		assert.equal(text, body);
 		connection.destroy();
@@ -185,21 +187,8 @@
 			});
 		});
 		t.after(() => server.close());
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const {port} = server.address() as net.AddressInfo;
-		const connection = Connection.create({
-			origin: `http://127.0.0.1:${port}`,
-			clock: createSystemClock(),
-			maxBodyBytes: 1000,
-			connectTimeoutMs: 1000,
-		});
-		const sending = connection.send({
-			method: 'GET',
-			path: '/',
-			headers: [],
-			body: new Uint8Array(),
-		});
+		const connection = await connectTo(server);
+		const sending = connection.send(call);
 		while (connection.receivedBytes < half.length) {
 			await new Promise(resolve => {
 				setImmediate(resolve);
@@ -226,16 +215,7 @@
 			socket.write(answer);
 		});
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as net.AddressInfo;
-	const connection = Connection.create({
-		origin: `http://127.0.0.1:${port}`,
-		clock: createSystemClock(),
-		maxBodyBytes: 1000,
-		connectTimeoutMs: 1000,
-	});
-	const call = {method: 'GET', path: '/', headers: [], body: new Uint8Array()};
+	const connection = await connectTo(server);
 	assert.ok((await connection.send(call)).isOk());
 	assert.ok(connection.isUsable);
 	sockets[0]!.write(answer);
--- a/packages/testbed/src/soak/soak.ts
+++ b/packages/testbed/src/soak/soak.ts
@@ -1,12 +1,10 @@
 import {setTimeout} from 'node:timers/promises';
 import {type Clock, type Random, createRandom} from '@medlarsaddle/core';
 import {Platform} from '../platform/platform.js';
+import {applyHostStep} from './apply-host-step.js';
 import {findViolations} from './find-violations.js';
 import {drawSteps} from './draw-steps.js';
 import {faultSpansOf} from './fault-spans-of.js';
-import {linkFaults} from './link-faults.js';
-import {oversizedHeads} from './oversized-heads.js';
-import {sendOddRequests} from './send-odd-requests.js';
 import type {SoakRecord} from './soak-record.js';
 import type {UpstreamRun} from './upstream-run.js';
 import type {SentRequest} from './sent-request.js';
@@ -42,12 +40,6 @@
  */
 const recoveryTimeoutMs = 15_000;
 
-/**
- * Time that a drained upstream has to finish its calls, in milliseconds: longer than `drainMs` of the
- * platform.
- */
-const drainWaitMs = 2500;
-
 /**
  * Delay of each store call while the store is slow, in milliseconds: longer than its published response
  * times.
@@ -189,7 +181,12 @@
 
 	private async applyStep(step: Step): Promise<void> {
 		if ('host' in step) {
-			return this.applyHostStep(step, this.hosts[step.host]!);
+			const {opts, drains, stops, spoiltAnswers} = this;
+			return applyHostStep(
+				{clock: opts.clock, drains, stops, spoiltAnswers},
+				step,
+				this.hosts[step.host]!,
+			);
 		}
 
 		if (step.kind === 'configure') {
@@ -209,70 +206,6 @@
 		this.platform.setFaults({});
 	}
 
-	private async applyHostStep(step: Extract<Step, {host: number}>, host: SoakHost): Promise<void> {
-		switch (step.kind) {
-			case 'link': {
-				const relay = host.relays[step.link];
-				relay.setFault(step.fault);
-				await setTimeout(step.forMs);
-				relay.setFault(linkFaults.none);
-				return;
-			}
-
-			case 'pause': {
-				host.signal('SIGSTOP');
-				await setTimeout(step.forMs);
-				host.signal('SIGCONT');
-				return;
-			}
-
-			case 'kill': {
-				return host.restartDaemon('SIGKILL');
-			}
-
-			case 'stop': {
-				const {name, startCount} = host;
-				if (host.requestStop()) {
-					this.stops.push({host: name, life: startCount, atMs: this.opts.clock.monotonic()});
-				}
-
-				return host.restartDaemon('SIGTERM');
-			}
-
-			case 'reload': {
-				host.signal('SIGHUP');
-				return;
-			}
-
-			case 'crash-upstream': {
-				return host.replaceUpstream();
-			}
-
-			case 'spoil': {
-				this.spoiltAnswers.set(host.name, [...oversizedHeads]);
-				return sendOddRequests(host.relays.callers.port);
-			}
-
-			case 'depart-and-kill': {
-				await host.restartAfterDeparture(instance => {
-					this.drains.push({instance, confirmedMs: this.opts.clock.monotonic()});
-				});
-				await setTimeout(drainWaitMs);
-				return host.replaceUpstream();
-			}
-
-			case 'drain': {
-				const instance = await host.drainUpstream();
-				if (instance !== undefined) {
-					this.drains.push({instance, confirmedMs: this.opts.clock.monotonic()});
-				}
-
-				await setTimeout(drainWaitMs);
-				return host.replaceUpstream();
-			}
-		}
-	}
-
 	/**
 	 * Waits until every host serves both services. Resolves with one line for each host and service that
 	 * is not served in time.
