--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -62,7 +62,11 @@
 	storeWatchFailed: define('MS4010', 'info', 'watch of the configuration was given up'),
 	livenessReportRejected: define('MS2006', 'warn', 'liveness report cannot be read'),
 	livenessReportOutdated: define('MS2007', 'info', 'liveness report is older than what is known'),
-	livenessReportUnconfirmed: define('MS2008', 'warn', 'upstream does not confirm its liveness report'),
+	livenessReportUnconfirmed: define(
+		'MS2008',
+		'warn',
+		'upstream does not confirm its liveness report',
+	),
 	requestRejected: define('MS6002', 'warn', 'request was rejected before it was forwarded'),
 	requestEnded: define('MS6001', 'info', 'request ended'),
 	callRefused: define('MS6003', 'info', 'call was refused by the node of its upstream'),
--- a/packages/testbed/test/soak.test.ts
+++ b/packages/testbed/test/soak.test.ts
@@ -138,10 +138,10 @@
 	assert.equal(kinds.size, 15);
 });
 
-for (const {seed, cause} of soakCases) {
-	test(`real programs keep their guarantees under the faults of seed ${seed}: ${cause}`, async () => {
+for (const {cause, ...opts} of soakCases) {
+	test(`real programs keep their guarantees under the faults of seed ${opts.seed}: ${cause}`, async () => {
 		const clock = createSystemClock();
-		const ended = await Soak.run({clock, seed, hosts: 4, callersPerHost: 2, lengthMs: 5000});
+		const ended = await Soak.run({clock, ...opts});
 		assert.deepEqual(ended.violations, []);
 		assert.ok(ended.record.sent.some(({status}) => status === 200));
 	});
