Tiny chunks end a turn of the event loop by their number

A turn of 128 KiB holds 21,000 chunks of one byte. 200,000 of them took 1134 ms on a busy machine (load 20) in ten turns, so that each turn kept all other connections waiting for a tenth of a second. The test asks for at most 1000 chunks a turn in place of three turns in all, which the code of before fails ("read in 5 turns", 60,000 chunks).

--- a/packages/streams/src/chunked-decoder.ts
+++ b/packages/streams/src/chunked-decoder.ts
@@ -21,7 +21,7 @@
  * each byte once, however the bytes are split.
  *
  * @example
- * reader.skip(decoder.decode(reader.unread));
+ * reader.skip(decoder.decode(reader.unread, 1000));
  */
 export class ChunkedDecoder {
 	/** Creates a decoder of a body of at most `maxBytes`. */
@@ -36,6 +36,7 @@
 	private trailerBytes = 0;
 	/** Bytes of an incomplete line in which there is no line end. */
 	private searched = 0;
+	private wasStopped = false;
 
 	private constructor(private readonly maxBytes: number) {}
 
@@ -44,27 +45,36 @@
 		return this.state === states.complete;
 	}
 
+	/** Whether the last call ended after its steps, so that bytes may be left to decode. */
+	get hasStopped(): boolean {
+		return this.wasStopped;
+	}
+
 	/** The body, once it is complete. */
 	get body(): Buffer {
 		return this.parts.toBuffer();
 	}
 
 	/**
-	 * Decodes the next bytes and returns how many it has used; the others are to be given again, with
-	 * more after them.
+	 * Decodes the next bytes, at most `maxSteps` of their parts, and returns how many bytes it has used.
+	 * The others are to be given again; with more after them, unless `hasStopped`.
 	 *
 	 * @throws MessageError when the encoding is malformed or the body is too large.
 	 */
-	decode(bytes: Buffer): number {
+	decode(bytes: Buffer, maxSteps: number): number {
 		let used = 0;
-		for (;;) {
+		for (let steps = 0; steps < maxSteps; steps++) {
 			const step = this.decodeNext(bytes.subarray(used));
 			if (step === undefined) {
+				this.wasStopped = false;
 				return used;
 			}
 
 			used += step;
 		}
+
+		this.wasStopped = true;
+		return used;
 	}
 
 	/** Decodes the next part of the encoding; undefined when it has not come whole. */
--- a/packages/streams/src/read-chunked.ts
+++ b/packages/streams/src/read-chunked.ts
@@ -2,11 +2,8 @@
 import type {ByteReader} from './byte-reader.js';
 import {ChunkedDecoder} from './chunked-decoder.js';
 
-/**
- * Bytes that are decoded in one turn of the event loop, since many tiny chunks take long; more than
- * the longest line.
- */
-const maxBytesPerTurn = 128 * 1024;
+/** Parts of the encoding, three a chunk, that are decoded in one turn of the event loop. */
+const maxStepsPerTurn = 1000;
 
 /**
  * Reads a body in chunked encoding and skips its trailers. Undefined when the connection ends first.
@@ -22,13 +19,12 @@
 ): Promise<Buffer | undefined> => {
 	const decoder = ChunkedDecoder.create(maxBytes);
 	for (;;) {
-		const {unread} = reader;
-		reader.skip(decoder.decode(unread.subarray(0, maxBytesPerTurn)));
+		reader.skip(decoder.decode(reader.unread, maxStepsPerTurn));
 		if (decoder.isComplete) {
 			return decoder.body;
 		}
 
-		if (unread.length > maxBytesPerTurn) {
+		if (decoder.hasStopped) {
 			await setImmediate();
 		} else if (!(await reader.more())) {
 			return undefined;
--- a/packages/streams/test/linear-work.test.ts
+++ b/packages/streams/test/linear-work.test.ts
@@ -9,6 +9,9 @@
 
 const limits = {maxHeadBytes: 64 * 1024, maxBodyBytes: 1024 * 1024};
 
+/** Chunks of a body that may be read before others get their turn. */
+const maxChunksPerTurn = 1000;
+
 /** Copies for each received byte that a reader may make on average. */
 const maxCopies = 4;
 
@@ -85,5 +88,5 @@
 	abort.abort();
 	await counting;
 	assert.equal(response.body.length, 240_000);
-	assert.ok(turns >= 3, `read in ${turns} turns`);
+	assert.ok(turns >= 60_000 / maxChunksPerTurn, `read in ${turns} turns`);
 });
