--- a/packages/testbed/src/soak/relay.ts
+++ b/packages/testbed/src/soak/relay.ts
@@ -40,6 +40,7 @@
 
 	private currentFault: LinkFault = linkFaults.none;
 	private readonly sockets = new Set<Socket>();
+	private readonly resetSockets = new WeakSet<Socket>();
 
 	private constructor(
 		private readonly server: net.Server,
@@ -83,8 +84,15 @@
 		client.setNoDelay(true);
 		for (const socket of [client, server]) {
 			this.sockets.add(socket);
-			// An error also ends the iteration in `forward`, which handles it.
-			socket.on('error', () => {});
+			socket.on('error', () => {
+				this.resetSockets.add(socket);
+			});
+			// A reset right after data is reported as an end, but leaves no remote address.
+			socket.on('end', () => {
+				if (socket.remoteAddress === undefined) {
+					this.resetSockets.add(socket);
+				}
+			});
 		}
 
 		await Promise.all([
@@ -109,17 +117,18 @@
 					to.write(chunk as Buffer);
 				}
 			}
-
-			if (!hasDroppedBytes) {
-				to.end();
-			}
 		} catch {
-			// The source was reset, so the other side is reset too.
-			if (!hasDroppedBytes) {
-				to.resetAndDestroy();
-			}
+			this.resetSockets.add(from);
 		} finally {
 			this.sockets.delete(from);
 		}
+
+		if (!hasDroppedBytes) {
+			if (this.resetSockets.has(from)) {
+				to.resetAndDestroy();
+			} else {
+				to.end();
+			}
+		}
 	}
 }
