--- a/packages/testbed/src/soak/oversized-heads.ts
+++ b/packages/testbed/src/soak/oversized-heads.ts
@@ -2,8 +2,8 @@
 const lineBytes = 65_000;
 
 /**
- * Heads that are as long as a node reads, each with a line that is costly to read where work grows
- * faster than the bytes.
+ * Answers that are costly to read where work grows faster than the bytes: heads as long as a node
+ * reads, one of them without an end, and a body in chunks of one byte without an end.
  *
  * @example
  * socket.write(oversizedHeads[0]);
