Test: a call is ended as silent while its upstream waits for an inner call

What callers saw: 504 with most of the time left, though the endpoint was at work. Cause: SilenceDetector gives a safe call up when its upstream answers nothing but health checks, which is also how an upstream looks that waits for a slow call below.

--- /dev/null
+++ b/packages/testbed/test/interrupted-calls.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {RoutedHost} from '../src/harness/routed-host.js';
+import {Platform} from '../src/platform/platform.js';
+
+const serviceNames = ['rounds', 'permits'] as const;
+
+/** Each service has a route of its name for requests that may be repeated. */
+const configuration = {
+	version: 1,
+	limits: {
+		maxHeaderBytes: 4000,
+		maxBodyBytes: 100,
+		headerTimeoutMs: 3000,
+		idleTimeoutMs: 15_000,
+	},
+	listeners: [
+		{
+			host: 'shop.example',
+			rules: serviceNames.map(name => ({
+				name,
+				routeKind: 'idempotent',
+				targetLatencyMs: 500,
+				priority: 0,
+				match: {pathPrefix: `/${name}/`},
+				action: {service: name, timeoutMs: 5000, attempts: 2},
+			})),
+		},
+	],
+	clusters: serviceNames.map(name => ({name, healthPath: '/health', maxConns: 50})),
+};
+
+let platform: Platform;
+let rounds: RoutedHost;
+let permits: RoutedHost;
+
+before(async () => {
+	platform = await Platform.start();
+	platform.write('config', 'main', configuration);
+	const start = async (service: string) =>
+		RoutedHost.start({id: service, dataCentre: 'dc1', service, storeUrl: platform.url});
+	[rounds, permits] = await Promise.all([start('rounds'), start('permits')]);
+	for (const host of [rounds, permits]) {
+		await host.until(async () => host.isReady());
+		await host.report();
+	}
+
+	const isServed = async (target: string) =>
+		(await rounds.send(target, {'attempt-id': `start${target}`})).status === 200;
+	await rounds.until(async () => isServed('/rounds/1'));
+	await rounds.until(async () => isServed('/permits/1'));
+});
+
+after(async () => {
+	await Promise.all([rounds.stop(), permits.stop()]);
+	await platform.stop();
+});
+
+const hasStalled = ({daemon}: RoutedHost) => daemon.lines.some(({event}) => event === 'MS6006');
+
+// An upstream that waits for a slow call below answers nothing, but its health check. A node took that
+// for a silent connection and answered 504 with most of the time left.
+test('a call is ended as silent while its upstream waits for an inner call', async () => {
+	let finish = () => {};
+	const isHeld = new Promise<void>(resolve => {
+		permits.upstream.handler = (req, res) => {
+			finish = () => {
+				permits.upstream.answer(req, res);
+			};
+
+			resolve();
+		};
+	});
+	let innerStatus: number | undefined;
+	rounds.upstream.handler = async (req, res) => {
+		const inner = await rounds.send('/permits/2', {'attempt-id': 'inner', 'deadline-ms': '4000'});
+		innerStatus = inner.status;
+		rounds.upstream.answer(req, res);
+	};
+
+	const answer = rounds.send('/rounds/2', {'attempt-id': 'outer', 'deadline-ms': '5000'});
+	await isHeld;
+	const exitCode = rounds.daemon.end('SIGTERM');
+	const areStalled = rounds.until(() => hasStalled(rounds) && hasStalled(permits));
+	await Promise.race([areStalled, answer]);
+	finish();
+	assert.equal((await answer).status, 200);
+	assert.equal(innerStatus, 200);
+	assert.equal(await exitCode, 0);
+});
