A watch that has stopped leaves the connection of its call alone

What callers could see: 504 or 502 for a call at which its endpoint was at work, on any connection. Cause: SilenceDetector asks the upstream on a new connection whether it answers, and a call may end while it waits for that. Its connection then returned to the pool; the watch gave up whichever call it carried next, at once or at the deadline of the call before. Both new tests fail on the code of before: 1 !== 0 aborts. Change: a check that finds its watch stopped does nothing.

--- a/packages/node/src/upstream/silence-detector.ts
+++ b/packages/node/src/upstream/silence-detector.ts
@@ -69,6 +69,7 @@
 				: Math.max(minSilenceTimeoutMs, baselineMs * silenceTimeoutFactor);
 		let endReason: EndReason | undefined;
 		let stopTimer = () => {};
+		let isStopped = false;
 		const abortCall = (reason: EndReason) => {
 			endReason ??= reason;
 			abort();
@@ -88,7 +89,16 @@
 		const check = async () => {
 			if (clock.monotonic() >= call.deadlineMs + answerGraceMs) {
 				abortCall(endReasons.deadline);
-			} else if (call.ownMs >= silenceTimeoutMs && (await this.isSilent(call, pool))) {
+				return;
+			}
+
+			const isSilent = call.ownMs >= silenceTimeoutMs && (await this.isSilent(call, pool));
+			// The call may have ended meanwhile, and its connection may carry another one.
+			if (isStopped) {
+				return;
+			}
+
+			if (isSilent) {
 				pool.requireProbes();
 				abortCall(endReasons.silence);
 			} else {
@@ -105,6 +115,7 @@
 		return {
 			endReason: () => endReason,
 			stop() {
+				isStopped = true;
 				stopTimer();
 				signal.removeEventListener('abort', onCallerLeft);
 			},
--- a/packages/node/test/silence-detector.test.ts
+++ b/packages/node/test/silence-detector.test.ts
@@ -65,3 +65,32 @@
 	assert.equal(abortedMs(), 100);
 	assert.equal(endReason(), endReasons.callerLeft);
 });
+
+// The upstream is asked on a new connection. A call that ended before it answered had its connection
+// returned to the pool, and the watch then ended whichever call it carried next.
+for (const isAnswering of [true, false]) {
+	const reply = isAnswering ? 'that it works' : 'nothing';
+	test(`a watch that has stopped ends the next call on its connection, when the upstream answers ${reply}`, async () => {
+		const clock = ManualClock.at(0);
+		const {signal} = new AbortController();
+		let answer: (isUp: boolean) => void = () => {};
+		const asked = new Promise<boolean>(resolve => {
+			answer = resolve;
+		});
+		let aborts = 0;
+		const {stop} = SilenceDetector.create(clock).watch({
+			call: InFlightCall.open({...request, idempotent: true}, signal, clock),
+			pool: {...pool, isAnswering: async () => asked} as unknown as ConnectionPool,
+			baselineMs: 10,
+			signal,
+			abort() {
+				aborts++;
+			},
+		});
+		await clock.advance(310);
+		stop();
+		answer(isAnswering);
+		await clock.advance(1000);
+		assert.equal(aborts, 0);
+	});
+}
