Calls at an upstream outlive its withdrawal

What callers saw: 502 for calls at which an endpoint was at work, when the endpoint's reports stopped (the store away, the node asked once and got no answer) or another instance appeared at its address. Cause: the same class: withdrawing an upstream closed its pool with the calls on it, though neither shows that the process has ended. If it has, its connections end by themselves. Change: the pool is retired: idle connections close at once, each other one when its call has ended. Safe calls on it count as stalled, so they are tried at another endpoint as well.

--- a/packages/node/src/upstream/connection-pool.ts
+++ b/packages/node/src/upstream/connection-pool.ts
@@ -33,11 +33,11 @@
 		return new ConnectionPool(opts);
 	}
 
-	private idle: Connection[] = [];
+	private readonly idle: Connection[] = [];
 	private settings: PoolSettings;
 	private answerRequiredSinceMs = Number.NEGATIVE_INFINITY;
 	private readonly all = new Set<Connection>();
-	private hasEnded = false;
+	private hasRetired = false;
 	/** Health request that is pending; several callers share it. */
 	private pendingCheck: Promise<boolean> | undefined;
 
@@ -50,9 +50,9 @@
 		return this.all.size;
 	}
 
-	/** Whether the pool was destroyed, which ends the calls on its connections. */
-	get isDestroyed(): boolean {
-		return this.hasEnded;
+	/** Whether the upstream was withdrawn or replaced, so that no connection is used again. */
+	get isRetired(): boolean {
+		return this.hasRetired;
 	}
 
 	/** Whether no idle connection has answered recently enough to be used without a probe. */
@@ -106,7 +106,8 @@
 
 	/** Returns a usable connection to the pool, or closes it if it is unusable or surplus. */
 	release(connection: Connection): void {
-		if (connection.isUsable && this.all.size <= this.settings.maxConnections) {
+		const isSurplus = this.hasRetired || this.all.size > this.settings.maxConnections;
+		if (connection.isUsable && !isSurplus) {
 			this.idle.push(connection);
 		} else {
 			this.drop(connection);
@@ -119,15 +120,12 @@
 		connection.destroy();
 	}
 
-	/** Closes every connection. */
-	destroy(): void {
-		this.hasEnded = true;
-		for (const connection of this.all) {
-			connection.destroy();
+	/** Closes the idle connections, and each other one when its call has ended. */
+	retire(): void {
+		this.hasRetired = true;
+		for (const connection of this.idle.splice(0)) {
+			this.drop(connection);
 		}
-
-		this.all.clear();
-		this.idle = [];
 	}
 
 	/** Whether the upstream answers a health request on a new connection. */
--- a/packages/node/src/upstream/execute.ts
+++ b/packages/node/src/upstream/execute.ts
@@ -110,7 +110,7 @@
 	log(events.callFailed, {
 		request: request.rootId,
 		service: request.service,
-		reason: reason ?? (pool.isDestroyed ? endReasons.withdrawn : undefined),
+		reason,
 		ending,
 		receivedBytes,
 		error: fault.what,
--- a/packages/node/src/upstream/silence-detector.ts
+++ b/packages/node/src/upstream/silence-detector.ts
@@ -135,6 +135,10 @@
 		call: InFlightCall,
 		pool: ConnectionPool,
 	): Promise<StallSign | undefined> {
+		if (pool.isRetired) {
+			return stallSigns.withdrawn;
+		}
+
 		const overtaking = this.recentStartsMs.filter(startMs => startMs > call.startMs).length;
 		if (overtaking >= minOvertakingCalls) {
 			return stallSigns.overtaken;
--- a/packages/node/src/upstream/stall-signs.ts
+++ b/packages/node/src/upstream/stall-signs.ts
@@ -9,4 +9,6 @@
 	overtaken: 'overtaken',
 	/** No call has ended since, but the upstream answers on a new connection. */
 	unanswered: 'unanswered',
+	/** The upstream was withdrawn or replaced. */
+	withdrawn: 'withdrawn',
 } as const;
--- a/packages/node/src/upstream/upstream-proxy.ts
+++ b/packages/node/src/upstream/upstream-proxy.ts
@@ -117,7 +117,7 @@
 			this.crashDetector.noteCrash();
 		}
 
-		this.current?.pool.destroy();
+		this.current?.pool.retire();
 		this.current = AnnouncedUpstream.create(this.opts, next);
 		this.opts.log(events.upstreamAnnounced, {
 			service: next.service,
@@ -127,12 +127,12 @@
 		this.opts.onOfferChanged();
 	}
 
-	/** Withdraws the upstream and closes its connections. */
+	/** Withdraws the upstream. Calls in flight continue. */
 	withdraw(): void {
 		const {current} = this;
 		if (current) {
 			this.current = undefined;
-			current.pool.destroy();
+			current.pool.retire();
 			this.opts.log(events.upstreamWithdrawn, {
 				service: current.announcement.service,
 				running: this.opts.inFlight.size,
--- a/packages/testbed/src/harness/routed-host.ts
+++ b/packages/testbed/src/harness/routed-host.ts
@@ -64,9 +64,14 @@
 		return this.portOf('callers');
 	}
 
+	/** Port for the reports of upstreams. */
+	get livenessPort(): number {
+		return this.portOf('liveness');
+	}
+
 	/** Reports the upstream to the daemon. */
 	async report(state: 'ready' | 'draining' = 'ready'): Promise<number> {
-		return this.upstream.report(this.portOf('liveness'), state);
+		return this.upstream.report(this.livenessPort, state);
 	}
 
 	/** Whether the daemon reports that it is ready for callers. */
--- a/packages/wire/src/end-reasons.ts
+++ b/packages/wire/src/end-reasons.ts
@@ -15,6 +15,4 @@
 	nodeStopped: 'node-stopped',
 	/** Another attempt of the call has answered. */
 	superseded: 'superseded',
-	/** The upstream was withdrawn or replaced. */
-	withdrawn: 'withdrawn',
 } as const;
