Tests of linear work: count the copies that are made

Cause: count-copied-bytes took 'calls' from the mock once, and that getter returns a copy of the calls so far, so that 0 bytes were counted always. Change: the getter is read when the bytes are counted. Conclusion: the product is right, the guard was not.

--- a/packages/streams/test/count-copied-bytes.ts
+++ b/packages/streams/test/count-copied-bytes.ts
@@ -7,9 +7,10 @@
  * const copiedBytes = countCopiedBytes(t);
  */
 export const countCopiedBytes = ({mock}: TestContext): (() => number) => {
-	const {calls: joins} = mock.method(Buffer, 'concat').mock;
-	const {calls: copies} = mock.method(Buffer.prototype as Buffer, 'copy').mock;
+	const {mock: joins} = mock.method(Buffer, 'concat');
+	const {mock: copies} = mock.method(Buffer.prototype as Buffer, 'copy');
+	// Each read of `calls` returns a copy of the calls so far.
 	return () =>
-		joins.reduce((sum, {result}) => sum + result!.length, 0) +
-		copies.reduce((sum, {result}) => sum + result!, 0);
+		joins.calls.reduce((sum, {result}) => sum + result!.length, 0) +
+		copies.calls.reduce((sum, {result}) => sum + result!, 0);
 };
