--- a/packages/testbed/src/soak/send-request.ts
+++ b/packages/testbed/src/soak/send-request.ts
@@ -1,20 +1,24 @@
 import {type Clock, errorText} from '@medlarsaddle/core';
-import type {Client} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {SentRequest} from './sent-request.js';
 import type {SoakHost} from './soak-host.js';
 
 type Opts = {
-	readonly client: Client;
+	readonly client: Dispatcher;
 	readonly host: SoakHost;
 	readonly clock: Clock;
 	readonly id: string;
 	/** Path prefix of the requested route. */
 	readonly prefix: string;
 	readonly isIdempotent: boolean;
+	/** Deadline that is sent with the request, in milliseconds. */
+	readonly deadlineMs?: number;
+	/** Aborts when the caller leaves. */
+	readonly signal?: AbortSignal;
 };
 
 /** Deadline that a caller sends with a request, in milliseconds. */
-const deadlineMs = 2000;
+const defaultDeadlineMs = 2000;
 
 /** Time after the deadline at which the caller aborts the request, in milliseconds. */
 const extraWaitMs = 1500;
@@ -32,6 +36,8 @@
 	id,
 	prefix,
 	isIdempotent,
+	deadlineMs = defaultDeadlineMs,
+	signal,
 }: Opts): Promise<SentRequest> => {
 	const request = {
 		id,
@@ -40,6 +46,7 @@
 		target: `${prefix}${id}`,
 		body: isIdempotent ? '' : `content of ${id}`,
 		isIdempotent,
+		deadlineMs,
 		sentMs: clock.monotonic(),
 	};
 	const timeoutSignal = AbortSignal.timeout(deadlineMs + extraWaitMs);
@@ -49,7 +56,7 @@
 			path: request.target,
 			headers: {host: 'shop.example', 'attempt-id': id, 'deadline-ms': String(deadlineMs)},
 			body: request.body === '' ? undefined : request.body,
-			signal: timeoutSignal,
+			signal: signal ? AbortSignal.any([signal, timeoutSignal]) : timeoutSignal,
 		});
 		const body = await reply.body.text();
 		const answer = {
@@ -60,6 +67,7 @@
 		return {...request, endMs: clock.monotonic(), status: reply.statusCode, answer};
 	} catch (error) {
 		const gaveUp = timeoutSignal.aborted;
-		return {...request, endMs: clock.monotonic(), error: errorText(error), gaveUp};
+		const hasLeft = signal?.aborted ?? false;
+		return {...request, endMs: clock.monotonic(), error: errorText(error), gaveUp, hasLeft};
 	}
 };
--- a/packages/testbed/src/soak/sent-request.ts
+++ b/packages/testbed/src/soak/sent-request.ts
@@ -25,6 +25,10 @@
 	readonly error?: string;
 	/** Whether the caller aborted the request after its timeout. */
 	readonly gaveUp?: boolean;
+	/** Time that the caller gave the request, in milliseconds. */
+	readonly deadlineMs: number;
+	/** Whether the caller closed the connection, because the call above was given up. */
+	readonly hasLeft?: boolean;
 	/** Headers and body of the answer; undefined when there is none. */
 	readonly answer?: {
 		readonly id: string | undefined;
--- a/packages/testbed/src/soak/soak-configuration.ts
+++ b/packages/testbed/src/soak/soak-configuration.ts
@@ -17,8 +17,8 @@
 const createCluster = (name: string) => ({name, healthPath: '/health', maxConns: 50});
 
 /**
- * The configuration versions of a soak. Each has two permanent routes and one route that exists in this
- * version only.
+ * The configuration versions of a soak. Each has two permanent routes of callers, two of inner calls and one
+ * route that exists in this version only.
  *
  * @example
  * platform.write('config', 'main', soakConfiguration.of(7));
@@ -40,6 +40,8 @@
 				rules: [
 					createRule('look', '/look/', 'idempotent', 'catalogue'),
 					createRule('pay', '/pay/', 'non_idempotent', 'payment'),
+					createRule('check', '/check/', 'idempotent', 'payment'),
+					createRule('stock', '/stock/', 'idempotent', 'catalogue'),
 					createRule(`only-${version}`, prefixOf(version), 'idempotent', 'catalogue'),
 				],
 			},
--- a/packages/testbed/src/soak/soak-host.ts
+++ b/packages/testbed/src/soak/soak-host.ts
@@ -1,10 +1,13 @@
 import {type AddressInfo, createServer} from 'node:net';
 import {once} from 'node:events';
 import {setTimeout} from 'node:timers/promises';
-import {Client} from 'undici';
+import {Client, Pool} from 'undici';
+import type {Clock} from '@medlarsaddle/core';
 import {DaemonOnPlatform} from '../harness/daemon-on-platform.js';
 import type {RoutedUpstream} from '../upstream/routed-upstream.js';
 import {Relay} from './relay.js';
+import {sendRequest} from './send-request.js';
+import type {SentRequest} from './sent-request.js';
 
 type Opts = {
 	readonly name: string;
@@ -17,6 +20,8 @@
 	readonly startUpstream: (instance: string, instanceNumber: number) => Promise<RoutedUpstream>;
 };
 
+type InnerCall = Pick<Parameters<typeof sendRequest>[0], 'id' | 'prefix' | 'deadlineMs' | 'signal'>;
+
 /** Interval between the liveness reports of an upstream, in milliseconds. */
 const reportIntervalMs = 500;
 
@@ -62,6 +67,7 @@
 	/** Number of daemon starts so far, which identifies the current daemon process. */
 	startCount = 0;
 	private daemon: DaemonOnPlatform | undefined;
+	private innerPool: Pool | undefined;
 	private instanceCount = 1;
 	/** Start number of the last daemon that was sent SIGTERM. */
 	private lastSignalledStart = 0;
@@ -101,6 +107,12 @@
 		return new Client(`http://127.0.0.1:${this.relays.callers.port}`, {pipelining: 1});
 	}
 
+	/** Sends a call of the upstream to the daemon, on connections that the upstream keeps. */
+	async callInner(clock: Clock, inner: InnerCall): Promise<SentRequest> {
+		this.innerPool ??= new Pool(`http://127.0.0.1:${this.relays.callers.port}`, {pipelining: 1});
+		return sendRequest({...inner, client: this.innerPool, host: this, clock, isIdempotent: true});
+	}
+
 	/** Starts the daemon unless it is running. */
 	async startDaemon(): Promise<void> {
 		await this.runInOrder(async () => this.startIfStopped());
@@ -187,6 +199,7 @@
 	/** Stops the upstream, the daemon and the relays. */
 	async stop(): Promise<void> {
 		this.upstream.stop();
+		await this.innerPool?.destroy();
 		await this.daemon?.stop();
 		await Promise.all(Object.values(this.relays).map(async relay => relay.stop()));
 	}
--- a/packages/testbed/src/soak/soak.ts
+++ b/packages/testbed/src/soak/soak.ts
@@ -118,6 +118,7 @@
 						clock,
 						random: this.random,
 						onRun: run => this.runs.push(run),
+						callInner: async inner => this.callInner(index, inner),
 						nextSpoiltAnswer: () => this.spoiltAnswers.get(`h${index + 1}`)?.shift(),
 					}),
 			});
@@ -153,6 +154,17 @@
 		return {violations: [...violations, ...findViolations(record)], steps, record, logs};
 	}
 
+	/** Sends a call of an upstream to the node on its host. */
+	private async callInner(
+		index: number,
+		inner: Parameters<SoakHost['callInner']>[1],
+	): Promise<void> {
+		const sent = await this.hosts[index]?.callInner(this.opts.clock, inner);
+		if (sent) {
+			this.sent.push(sent);
+		}
+	}
+
 	private startCallers(signal: AbortSignal): Array<Promise<void>> {
 		const {clock, callersPerHost} = this.opts;
 		return this.hosts.flatMap(host =>
--- a/packages/testbed/src/soak/upstream-run.ts
+++ b/packages/testbed/src/soak/upstream-run.ts
@@ -12,4 +12,9 @@
 	readonly body: string;
 	/** Start of the execution, in monotonic milliseconds. */
 	readonly atMs: number;
+	/**
+	 * When the node closed the connection of the call before its answer, in monotonic milliseconds; set
+	 * later, and undefined if it did not.
+	 */
+	cutMs?: number;
 };
--- a/packages/testbed/src/upstream/routed-upstream.ts
+++ b/packages/testbed/src/upstream/routed-upstream.ts
@@ -26,6 +26,8 @@
 	readonly executedIds: string[] = [];
 	/** Handler of calls; may be replaced at any time. */
 	handler: CallHandler;
+	/** Whether the upstream has ended. */
+	isStopped = false;
 	/** Whether the upstream has announced that it leaves, which its health check says. */
 	private isLeaving = false;
 	private readonly server: http.Server;
@@ -113,6 +115,7 @@
 
 	/** Resets all connections, since an end would complete an answer without a length. */
 	stop(): void {
+		this.isStopped = true;
 		this.server.close();
 		for (const socket of this.sockets) {
 			socket.resetAndDestroy();
--- a/packages/testbed/test/soak.test.ts
+++ b/packages/testbed/test/soak.test.ts
@@ -16,6 +16,7 @@
 	target: '/pay/x-1',
 	body: 'content',
 	isIdempotent: false,
+	deadlineMs: 2000,
 	sentMs: 1000,
 	endMs: 1040,
 	status: 200,
@@ -100,6 +101,22 @@
 		{sent: [interruptedRequest], stops: [{host: 'h1', life: 1, atMs: 1020}]},
 		/planned stop of h1/v,
 	],
+	[
+		'is answered by a stopping node in place of its upstream',
+		{
+			sent: [{...request, status: 504, answer: {...request.answer!, seal: undefined}}],
+			stops: [{host: 'h1', life: 1, atMs: 1020}],
+		},
+		/answered 504 by the stopping node h1/v,
+	],
+	[
+		'is cut off while its upstream works on it',
+		{
+			sent: [{...request, status: 504, answer: {...request.answer!, seal: undefined}}],
+			runs: [{...run, cutMs: 1310}],
+		},
+		/cut off at i-1 after 300 ms of work/v,
+	],
 ];
 
 for (const [name, record, expected] of violatingRecords) {
