--- a/packages/node/test/silence-detector.test.ts
+++ b/packages/node/test/silence-detector.test.ts
@@ -118,3 +118,22 @@
 	assert.deepEqual(events, ['unanswered at 300', 'aborted at 450']);
 	assert.equal(endReason(), endReasons.deadline);
 });
+
+test('a call at an upstream that was withdrawn is not tried elsewhere', async () => {
+	const clock = ManualClock.at(0);
+	const {signal} = new AbortController();
+	const signs: string[] = [];
+	const {stop} = SilenceDetector.create(clock).watch({
+		call: InFlightCall.open({...request, idempotent: true}, signal, clock),
+		pool: {...pool, isRetired: true, isAnswering: async () => false} as unknown as ConnectionPool,
+		baselineMs: 10,
+		signal,
+		abort() {},
+		onStalled(sign) {
+			signs.push(sign);
+		},
+	});
+	await clock.advance(310);
+	assert.deepEqual(signs, ['withdrawn']);
+	stop();
+});
