--- a/packages/testbed/src/soak/find-violations.ts
+++ b/packages/testbed/src/soak/find-violations.ts
@@ -126,26 +126,28 @@
 		)
 		.map(({id, host}) => `${id} had no answer long after its deadline at ${host}`);
 
-const plannedStopsInterruptNothing: Check = ({stops, sent, harm}) =>
-	stops
-		.filter(
-			({atMs}) =>
-				!harm.some(({fromMs, toMs}) => fromMs < atMs + graceMs && toMs > atMs - stableWindowMs),
-		)
-		.flatMap(({host, life, atMs}) =>
-			sent
-				.filter(
-					request =>
-						request.host === host &&
-						request.life === life &&
-						request.sentMs < atMs + noticeMs &&
-						request.endMs > atMs &&
-						request.status === undefined &&
-						!request.gaveUp &&
-						!request.hasLeft,
-				)
-				.map(({id, error}) => `${id} was cut by the planned stop of ${host}: ${error}`),
-		);
+/** Planned stops beside which no fault could interrupt a request. */
+const stopsWithoutHarm = ({stops, harm}: SoakRecord): SoakRecord['stops'] =>
+	stops.filter(
+		({atMs}) =>
+			!harm.some(({fromMs, toMs}) => fromMs < atMs + graceMs && toMs > atMs - stableWindowMs),
+	);
+
+const plannedStopsInterruptNothing: Check = record =>
+	stopsWithoutHarm(record).flatMap(({host, life, atMs}) =>
+		record.sent
+			.filter(
+				request =>
+					request.host === host &&
+					request.life === life &&
+					request.sentMs < atMs + noticeMs &&
+					request.endMs > atMs &&
+					request.status === undefined &&
+					!request.gaveUp &&
+					!request.hasLeft,
+			)
+			.map(({id, error}) => `${id} was cut by the planned stop of ${host}: ${error}`),
+	);
 
 /** Share of the stop time in which a node may end what its upstream is still at work on. */
 const finalShare = 1 / 6;
@@ -154,49 +156,41 @@
  * After a planned stop a node must not answer a request in place of the upstream that is at work on it,
  * before its time is up.
  */
-const plannedStopsReplaceNoAnswer: Check = ({stops, sent, runs, harm}) =>
-	stops
-		.filter(
-			({atMs}) =>
-				!harm.some(({fromMs, toMs}) => fromMs < atMs + graceMs && toMs > atMs - stableWindowMs),
-		)
-		.flatMap(({host, life, atMs}) =>
-			sent
-				.filter(
-					request =>
-						request.host === host &&
-						request.life === life &&
-						request.endMs > atMs &&
-						request.endMs < atMs + graceMs * (1 - finalShare) &&
-						request.endMs < request.sentMs + request.deadlineMs &&
-						request.status !== undefined &&
-						request.answer?.seal === undefined &&
-						runs.some(({id}) => id === request.id),
-				)
-				.map(
-					({id, status, sentMs, endMs}) =>
-						`${id} was answered ${status} by the stopping node ${host} after ${Math.round(endMs - sentMs)} ms, though it ran`,
-				),
-		);
+const plannedStopsReplaceNoAnswer: Check = record =>
+	stopsWithoutHarm(record).flatMap(({host, life, atMs}) =>
+		record.sent
+			.filter(
+				request =>
+					request.host === host &&
+					request.life === life &&
+					request.endMs > atMs &&
+					request.endMs < atMs + graceMs * (1 - finalShare) &&
+					request.endMs < request.sentMs + request.deadlineMs &&
+					request.status !== undefined &&
+					request.answer?.seal === undefined &&
+					record.runs.some(({id}) => id === request.id),
+			)
+			.map(
+				({id, status, sentMs, endMs}) =>
+					`${id} was answered ${status} by the stopping node ${host} after ${Math.round(endMs - sentMs)} ms, though it ran`,
+			),
+	);
 
 /** A node closes no connection on which its upstream is at work before the time of the call is up. */
 const workIsNotCutEarly: Check = ({sent, runs, stops, harm}) => {
 	const sentById = new Map(sent.map(request => [request.id, request]));
-	return runs.flatMap(({id, instance, atMs, cutMs}) => {
+	return runs.flatMap(({id, instance, atMs, cutMs = Number.POSITIVE_INFINITY}) => {
 		const request = sentById.get(id);
 		const isCut =
-			cutMs !== undefined &&
 			request !== undefined &&
 			cutMs < request.sentMs + request.deadlineMs &&
 			request.status !== 200 &&
 			!request.gaveUp &&
 			!request.hasLeft;
 		const isAllowed =
-			harm.some(({fromMs, toMs}) => fromMs < (cutMs ?? 0) && toMs > atMs - stableWindowMs) ||
+			harm.some(({fromMs, toMs}) => fromMs < cutMs && toMs > atMs - stableWindowMs) ||
 			stops.some(
-				stop =>
-					(cutMs ?? 0) > stop.atMs + graceMs * (1 - finalShare) &&
-					(cutMs ?? 0) < stop.atMs + graceMs,
+				stop => cutMs > stop.atMs + graceMs * (1 - finalShare) && cutMs < stop.atMs + graceMs,
 			);
 		return isCut && !isAllowed
 			? [`${id} was cut off at ${instance} after ${Math.round(cutMs - atMs)} ms of work`]
