--- a/packages/testbed/src/soak/soak-upstream.ts
+++ b/packages/testbed/src/soak/soak-upstream.ts
@@ -107,7 +107,9 @@
 		if (prefix !== undefined && random.next() < innerCallShare) {
 			const leftMs = Number(req.headers['deadline-ms']) - (clock.monotonic() - startMs);
 			const deadlineMs = Math.max(0, Math.floor(leftMs));
-			await callInner({id: `${id}.${prefix[1]}`, prefix, deadlineMs, signal: givenUp.signal});
+			// Two attempts of the call above may run at the same time.
+			const innerId = `${id}.${instance}`;
+			await callInner({id: innerId, prefix, deadlineMs, signal: givenUp.signal});
 		}
 
 		isAtWork = false;
