--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -5,11 +5,13 @@
 import type {Member} from '@medlarsaddle/members';
 import type {Task} from '@medlarsaddle/supervise';
 import {
+	CallEnded,
 	type CallOutcome,
 	type CallRequest,
 	Link,
 	type Message,
 	type MessageOf,
+	endReasons,
 	messageTypes,
 	runStates,
 } from '@medlarsaddle/wire';
@@ -91,8 +93,14 @@
 			this.resolveOpened?.(true);
 			log(events.peerConnected, {peer: member.id});
 			await Promise.race([this.readReplies(link), this.watchSilence(link)]);
+			if (this.pendingReplies.size > 0) {
+				// A link that ends by itself reads its end; one that is still open here was silent.
+				const cause = link.isOpen ? 'silent' : 'ended';
+				log(events.peerDisconnected, {peer: member.id, cause, pending: this.pendingReplies.size});
+			}
 		} catch (error) {
-			log(events.peerDisconnected, {peer: member.id, error: errorText(error)});
+			const pending = this.pendingReplies.size;
+			log(events.peerDisconnected, {peer: member.id, error: errorText(error), pending});
 		} finally {
 			signal.removeEventListener('abort', stop);
 			socket.destroy();
@@ -134,8 +142,10 @@
 			return message.outcome;
 		}
 
-		this.send({type: messageTypes.cancel, id});
 		const isLate = this.opts.clock.monotonic() - startMs >= request.remainingMs;
+		const endReason = signal.aborted ? CallEnded.reasonOf(signal) : endReasons.linkLost;
+		const reason = isLate ? endReasons.deadline : endReason;
+		this.send({type: messageTypes.cancel, id, reason});
 		return refusalOf(
 			isLate || signal.aborted ? peerFaults.deadlineExceeded : peerFaults.connectionLost,
 			runStates.unknown,
--- a/packages/node/src/peers/serve-connection.ts
+++ b/packages/node/src/peers/serve-connection.ts
@@ -2,10 +2,12 @@
 import {type Clock, Fault, type Log, errorText, events, faultKinds} from '@medlarsaddle/core';
 import type {Task} from '@medlarsaddle/supervise';
 import {
+	CallEnded,
 	type CallOutcome,
 	Link,
 	type Message,
 	callModes,
+	endReasons,
 	messageTypes,
 	runStates,
 } from '@medlarsaddle/wire';
@@ -72,7 +74,7 @@
 				}
 
 				case messageTypes.cancel: {
-					running.get(message.id)?.abort(new Error('The caller cancelled the call'));
+					running.get(message.id)?.abort(CallEnded.of(message.reason ?? endReasons.callerLeft));
 					break;
 				}
 
@@ -116,8 +118,9 @@
 		} finally {
 			signal.removeEventListener('abort', stop);
 			link.close();
+			const reason = signal.aborted ? endReasons.nodeStopped : endReasons.linkLost;
 			for (const abort of running.values()) {
-				abort.abort(new Error('The connection to the caller ended'));
+				abort.abort(CallEnded.of(reason));
 			}
 		}
 	};
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -170,7 +170,7 @@
 	 * its keys, then ends.
 	 */
 	async stop(): Promise<void> {
-		const {lifecycle, upstream, gossip, clock, log, settings} = this.cradle;
+		const {inFlight, lifecycle, upstream, gossip, clock, log, settings} = this.cradle;
 		log(events.nodeDraining);
 		lifecycle.markNotReady();
 		await clock.sleep(settings.noticeMs / 2);
@@ -193,10 +193,11 @@
 			await this.handOver();
 		}
 
+		const cut = {openCalls: lifecycle.openCalls, running: inFlight.size};
 		gossip.updateSelf({state: memberStates.left, offers: []});
 		this.abort.abort(new Error('The node is stopping'));
 		await this.ended;
-		log(events.nodeStopped);
+		log(events.nodeStopped, cut);
 	}
 
 	/** Stops at once, without waiting for work in flight. */
--- a/packages/node/src/upstream/connection-pool.ts
+++ b/packages/node/src/upstream/connection-pool.ts
@@ -37,6 +37,7 @@
 	private settings: PoolSettings;
 	private answerRequiredSinceMs = Number.NEGATIVE_INFINITY;
 	private readonly all = new Set<Connection>();
+	private hasEnded = false;
 	/** Health request that is pending; several callers share it. */
 	private pendingCheck: Promise<boolean> | undefined;
 
@@ -49,6 +50,11 @@
 		return this.all.size;
 	}
 
+	/** Whether the pool was destroyed, which ends the calls on its connections. */
+	get isDestroyed(): boolean {
+		return this.hasEnded;
+	}
+
 	/** Whether no idle connection has answered recently enough to be used without a probe. */
 	get isProbeDue(): boolean {
 		const oldestMs = this.opts.clock.monotonic() - freshForMs;
@@ -115,6 +121,7 @@
 
 	/** Closes every connection. */
 	destroy(): void {
+		this.hasEnded = true;
 		for (const connection of this.all) {
 			connection.destroy();
 		}
--- a/packages/node/src/upstream/execute.ts
+++ b/packages/node/src/upstream/execute.ts
@@ -1,6 +1,12 @@
 import {type Fault, type Log, events, faultKinds} from '@medlarsaddle/core';
 import type {Admission} from '@medlarsaddle/control';
-import {type CallOutcome, type CallRequest, type Refusal, runStates} from '@medlarsaddle/wire';
+import {
+	type CallOutcome,
+	type CallRequest,
+	type Refusal,
+	endReasons,
+	runStates,
+} from '@medlarsaddle/wire';
 import type {CrashDetector} from './crash-detector.js';
 import type {InFlightCalls} from './in-flight-calls.js';
 import type {InFlightCall} from './in-flight-call.js';
@@ -87,15 +93,16 @@
 	pool.release(connection);
 	admission.release(request.job);
 	const {fault, mayHaveRun, wasClosed, receivedBytes, ending} = answer.error;
-	const reason = watch.abortReason();
+	const reason = watch.endReason();
 	deps.log(events.callFailed, {
 		request: request.rootId,
 		service: request.service,
-		reason,
+		reason: reason ?? (pool.isDestroyed ? endReasons.withdrawn : undefined),
 		ending,
 		receivedBytes,
 		error: fault.what,
 		tookMs: Math.round(call.heldMs),
+		leftMs: Math.round(call.deadlineMs - call.startMs - call.heldMs),
 	});
 	if (wasClosed) {
 		crashDetector.noteLost(request);
--- a/packages/node/src/upstream/silence-detector.ts
+++ b/packages/node/src/upstream/silence-detector.ts
@@ -1,9 +1,9 @@
 import type {Clock} from '@medlarsaddle/core';
-import {abortReasons} from './abort-reasons.js';
+import {CallEnded, endReasons} from '@medlarsaddle/wire';
 import type {InFlightCall} from './in-flight-call.js';
 import type {ConnectionPool} from './connection-pool.js';
 
-type AbortReason = (typeof abortReasons)[keyof typeof abortReasons];
+type EndReason = (typeof endReasons)[keyof typeof endReasons];
 
 type Watched = {
 	readonly call: InFlightCall;
@@ -59,7 +59,7 @@
 	/** Watches a call until `stop` is called. */
 	watch({call, pool, baselineMs, signal, abort}: Watched): {
 		/** Why the call was aborted; undefined when it was not. */
-		readonly abortReason: () => AbortReason | undefined;
+		readonly endReason: () => EndReason | undefined;
 		readonly stop: () => void;
 	} {
 		const {clock} = this;
@@ -67,15 +67,15 @@
 			baselineMs === undefined
 				? Number.POSITIVE_INFINITY
 				: Math.max(minSilenceTimeoutMs, baselineMs * silenceTimeoutFactor);
-		let abortReason: AbortReason | undefined;
+		let endReason: EndReason | undefined;
 		let stopTimer = () => {};
-		const abortCall = (reason: AbortReason) => {
-			abortReason ??= reason;
+		const abortCall = (reason: EndReason) => {
+			endReason ??= reason;
 			abort();
 		};
 
 		const onCallerLeft = () => {
-			abortCall(abortReasons.callerLeft);
+			abortCall(CallEnded.reasonOf(signal));
 		};
 
 		const scheduleCheck = () => {
@@ -87,10 +87,10 @@
 
 		const check = async () => {
 			if (clock.monotonic() >= call.deadlineMs + answerGraceMs) {
-				abortCall(abortReasons.deadline);
+				abortCall(endReasons.deadline);
 			} else if (call.ownMs >= silenceTimeoutMs && (await this.isSilent(call, pool))) {
 				pool.requireProbes();
-				abortCall(abortReasons.silence);
+				abortCall(endReasons.silence);
 			} else {
 				scheduleCheck();
 			}
@@ -103,7 +103,7 @@
 		}
 
 		return {
-			abortReason: () => abortReason,
+			endReason: () => endReason,
 			stop() {
 				stopTimer();
 				signal.removeEventListener('abort', onCallerLeft);
--- a/packages/node/src/upstream/upstream-proxy.ts
+++ b/packages/node/src/upstream/upstream-proxy.ts
@@ -119,7 +119,11 @@
 
 		this.current?.pool.destroy();
 		this.current = AnnouncedUpstream.create(this.opts, next);
-		this.opts.log(events.upstreamAnnounced, {service: next.service, port: next.port});
+		this.opts.log(events.upstreamAnnounced, {
+			service: next.service,
+			port: next.port,
+			running: this.opts.inFlight.size,
+		});
 		this.opts.onOfferChanged();
 	}
 
@@ -129,7 +133,10 @@
 		if (current) {
 			this.current = undefined;
 			current.pool.destroy();
-			this.opts.log(events.upstreamWithdrawn, {service: current.announcement.service});
+			this.opts.log(events.upstreamWithdrawn, {
+				service: current.announcement.service,
+				running: this.opts.inFlight.size,
+			});
 			this.opts.onOfferChanged();
 		}
 	}
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -2,6 +2,7 @@
 import type {CallOutcome} from './call-outcome.js';
 import type {CallRequest} from './call-request.js';
 import type {callModes} from './call-modes.js';
+import type {endReasons} from './end-reasons.js';
 import type {messageTypes as types} from './message-types.js';
 
 type Hello = {
@@ -27,6 +28,8 @@
 type Cancel = {
 	readonly type: typeof types.cancel;
 	readonly id: number;
+	/** Why the calling node ends the call; absent from nodes of earlier versions. */
+	readonly reason?: (typeof endReasons)[keyof typeof endReasons];
 };
 
 type Probe = {
