--- a/packages/control/src/retry-allowance.ts
+++ b/packages/control/src/retry-allowance.ts
@@ -37,6 +37,13 @@
 		return share;
 	}
 
+	/** Takes all remaining retries, for return to the call that they were split from. */
+	takeAll(): number {
+		const all = this.retriesLeft;
+		this.retriesLeft = 0;
+		return all;
+	}
+
 	/** Refunds the retries that a downstream call did not spend. */
 	refund(unspent: number): void {
 		this.retriesLeft += Math.max(0, Math.floor(unspent));
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -71,6 +71,7 @@
 	requestEnded: define('MS6001', 'info', 'request ended'),
 	callRefused: define('MS6003', 'info', 'call was refused by the node of its upstream'),
 	callFailed: define('MS6005', 'info', 'call got no whole answer from its upstream'),
+	callStalled: define('MS6006', 'info', 'call shows no progress at its upstream'),
 	callRetried: define('MS6004', 'info', 'call is retried at another endpoint'),
 	reportTooLarge: define('MS5001', 'warn', 'counts for the report do not fit their store object'),
 } as const;
--- a/packages/node/src/calls/call-sender.ts
+++ b/packages/node/src/calls/call-sender.ts
@@ -5,9 +5,11 @@
 import type {Peers} from '../peers/peers.js';
 import {refusalOf} from '../peers/refusal-of.js';
 import type {UpstreamProxy} from '../upstream/upstream-proxy.js';
+import type {AttemptEvent} from './attempt-event.js';
 import {callFaults} from './call-faults.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {EndpointSelector} from './endpoint-selector.js';
+import {OpenAttempts} from './open-attempts.js';
 
 type Opts = {
 	readonly clock: Clock;
@@ -49,7 +51,8 @@
 	private constructor(private readonly opts: Opts) {}
 
 	/**
-	 * Sends the call until it has an answer, may not be retried, or has no endpoint left. Calls
+	 * Sends the call until it has an answer, may not be retried, or has no endpoint left. One that may
+	 * be repeated and stalls is tried at another endpoint as well, and the first answer is taken. Calls
 	 * `onTried` with the node of each endpoint before it is tried.
 	 */
 	async send(
@@ -58,59 +61,88 @@
 		signal: AbortSignal,
 		onTried: (node: string) => void = () => {},
 	): Promise<CallOutcome> {
-		const {clock} = this.opts;
+		const {clock, selector} = this.opts;
 		const endMs = clock.monotonic() + request.remainingMs;
 		const tried = new Set<string>();
 		const retryBudget = this.retryBudgetOf(request.service);
 		retryBudget.noteFirstAttempt();
-		let freeRetries = 0;
-		let mayHaveRun = false;
-		let last = refusalOf(callFaults.noEndpoint, runStates.notRun, 0, {retryAfterMs: 1000});
-		for (;;) {
-			const endpoint = this.opts.selector.choose(request, tried);
+		const attempts = OpenAttempts.create(signal);
+		const spendRetry = () => this.trySpendRetry(retryBudget, allowance, tried.size);
+		const start = (mayStart: () => boolean, cause?: AttemptEvent) => {
 			const remainingMs = endMs - clock.monotonic();
-			if (!endpoint || remainingMs <= 0 || signal.aborted) {
-				return finalOutcome(last, mayHaveRun, allowance);
+			const hasTime = remainingMs > 0 && !signal.aborted;
+			const endpoint = hasTime ? selector.choose(request, tried) : undefined;
+			if (!endpoint || !mayStart()) {
+				return;
+			}
+
+			if (cause) {
+				this.retries++;
+				this.logRetry(request, cause, attempts.size);
 			}
 
 			tried.add(endpoint.node);
 			onTried(endpoint.node);
 			const attempt = {...request, remainingMs, allowance: allowance.split()};
-			last = await this.sendTo(endpoint, attempt, signal);
-			allowance.refund(last.unspent);
-			mayHaveRun ||= last.result.kind === 'answer' || last.result.run === runStates.unknown;
-			if (!isRetryable(last, request)) {
-				return finalOutcome(last, mayHaveRun, allowance);
-			}
+			attempts.start(endpoint, async (attemptSignal, onStalled) =>
+				this.sendTo(endpoint, attempt, attemptSignal, onStalled),
+			);
+		};
 
-			const isFreeRetry =
-				last.result.kind === 'refusal' &&
-				last.result.run === runStates.notRun &&
-				this.opts.freeRetryFaults.has(last.result.fault) &&
-				freeRetries < maxFreeRetries;
-			if (isFreeRetry) {
-				freeRetries++;
-			} else if (!this.trySpendRetry(retryBudget, allowance, tried.size)) {
-				return finalOutcome(last, mayHaveRun, allowance);
+		let freeRetries = 0;
+		let mayHaveRun = false;
+		let last = refusalOf(callFaults.noEndpoint, runStates.notRun, 0, {retryAfterMs: 1000});
+		start(isAlwaysAllowed);
+		try {
+			while (attempts.size > 0) {
+				const event = await attempts.next();
+				if (event.kind === 'stalled') {
+					allowance.refund(event.unspent);
+					start(spendRetry, event);
+					continue;
+				}
+
+				last = event.outcome;
+				allowance.refund(last.unspent);
+				mayHaveRun ||= last.result.kind === 'answer' || last.result.run === runStates.unknown;
+				if (isRetryable(last, request)) {
+					const isFree = this.isFreeRetry(last) && freeRetries < maxFreeRetries;
+					freeRetries += isFree ? 1 : 0;
+					start(isFree ? isAlwaysAllowed : spendRetry, event);
+				} else if (last.result.kind === 'answer') {
+					break;
+				}
 			}
 
-			this.retries++;
-			this.logRetry(request, endpoint, last);
+			return finalOutcome(last, mayHaveRun, allowance);
+		} finally {
+			attempts.supersede();
 		}
 	}
 
-	private logRetry({rootId, service}: CallRequest, {node}: Endpoint, last: CallOutcome): void {
-		const {result} = last;
+	private logRetry({rootId, service}: CallRequest, cause: AttemptEvent, open: number): void {
+		const result = cause.kind === 'ended' ? cause.outcome.result : undefined;
 		this.opts.log(events.callRetried, {
 			request: rootId,
 			service,
-			endpoint: node,
-			status: result.kind === 'answer' ? result.status : undefined,
-			fault: result.kind === 'refusal' ? result.fault : undefined,
-			run: result.kind === 'refusal' ? result.run : undefined,
+			endpoint: cause.endpoint.node,
+			isStalled: cause.kind === 'stalled' ? true : undefined,
+			status: result?.kind === 'answer' ? result.status : undefined,
+			fault: result?.kind === 'refusal' ? result.fault : undefined,
+			run: result?.kind === 'refusal' ? result.run : undefined,
+			open,
 		});
 	}
 
+	/** Whether the call has not left the node of the endpoint, so that a retry repeats nothing. */
+	private isFreeRetry({result}: CallOutcome): boolean {
+		return (
+			result.kind === 'refusal' &&
+			result.run === runStates.notRun &&
+			this.opts.freeRetryFaults.has(result.fault)
+		);
+	}
+
 	private trySpendRetry(
 		retryBudget: RetryBudget,
 		allowance: RetryAllowance,
@@ -127,6 +159,7 @@
 		endpoint: Endpoint,
 		request: CallRequest,
 		signal: AbortSignal,
+		onStalled: (unspent: number) => void,
 	): Promise<CallOutcome> {
 		const {clock, upstream, selfId, peers, directory, selector} = this.opts;
 		const startMs = clock.monotonic();
@@ -134,9 +167,14 @@
 		const member: Member | undefined = directory.memberOf(endpoint.node);
 		const outcome =
 			endpoint.node === selfId
-				? await upstream.run(request, signal)
+				? await upstream.run(request, signal, onStalled)
 				: member
-					? await peers.call(member, callModes.run, request, signal)
+					? await peers.call(member, {
+							mode: callModes.run,
+							request,
+							signal,
+							onStalled: request.idempotent ? onStalled : undefined,
+						})
 					: refusalOf(callFaults.noEndpoint, runStates.notRun, request.allowance);
 		selector.noteEnded(endpoint.node, request, outcome, clock.monotonic() - startMs);
 		return outcome;
@@ -157,6 +195,9 @@
 	}
 }
 
+/** For an attempt that takes no retry from a budget. */
+const isAlwaysAllowed = () => true;
+
 /** The last outcome; a refusal is "not-run" only if no earlier attempt may have run. */
 const finalOutcome = (
 	last: CallOutcome,
--- a/packages/node/src/calls/keyed-call-runner.ts
+++ b/packages/node/src/calls/keyed-call-runner.ts
@@ -166,7 +166,7 @@
 			const issuer = this.issuerOf(key);
 			if (issuer && issuer.id !== gossip.self.id && !tried.has(issuer.id)) {
 				tried.add(issuer.id);
-				const outcome = await peers.call(issuer, callModes.own, request, signal);
+				const outcome = await peers.call(issuer, {mode: callModes.own, request, signal});
 				if (!isUnreachable(outcome)) {
 					return outcome;
 				}
@@ -200,7 +200,7 @@
 	): Promise<CallOutcome> {
 		const {gossip, peers} = this.opts;
 		for (const contact of gossip.contacts.of(key.parts.dataCentre)) {
-			const outcome = await peers.call(contact, callModes.own, request, signal);
+			const outcome = await peers.call(contact, {mode: callModes.own, request, signal});
 			if (!isUnreachable(outcome)) {
 				return outcome;
 			}
--- a/packages/node/src/calls/router.ts
+++ b/packages/node/src/calls/router.ts
@@ -180,12 +180,11 @@
 				continue;
 			}
 
-			const spilled = await peers.call(
-				contact,
-				callModes.spill,
-				{...request, allowance: 0},
+			const spilled = await peers.call(contact, {
+				mode: callModes.spill,
+				request: {...request, allowance: 0},
 				signal,
-			);
+			});
 			const isSettled = spilled.result.kind === 'answer' || spilled.result.run !== runStates.notRun;
 			if (isSettled) {
 				return spilled;
--- a/packages/node/src/peers/handlers.ts
+++ b/packages/node/src/peers/handlers.ts
@@ -1,4 +1,14 @@
-import type {CallOutcome, Message, MessageOf} from '@medlarsaddle/wire';
+import type {CallOutcome, CallRequest, Message, MessageOf} from '@medlarsaddle/wire';
+
+/**
+ * Handles a call. `onStalled` takes the retries that the call returns once nothing shows whether the
+ * upstream has received it; undefined when the calling node doesn't take that.
+ */
+type CallHandler = (
+	request: CallRequest,
+	signal: AbortSignal,
+	onStalled: ((unspent: number) => void) | undefined,
+) => Promise<CallOutcome>;
 
 /**
  * Handlers of the messages that other nodes send. A message that a handler returns is sent as the
@@ -11,11 +21,11 @@
  */
 export type Handlers = {
 	/** Runs a call on this node's upstream. */
-	run(request: MessageOf<'call'>['request'], signal: AbortSignal): Promise<CallOutcome>;
+	readonly run: CallHandler;
 	/** Handles a call whose idempotency key this node issued. */
-	own(request: MessageOf<'call'>['request'], signal: AbortSignal): Promise<CallOutcome>;
+	readonly own: CallHandler;
 	/** Routes a call for which another data centre found no endpoint. */
-	spill(request: MessageOf<'call'>['request'], signal: AbortSignal): Promise<CallOutcome>;
+	readonly spill: CallHandler;
 	sync(message: MessageOf<'sync'>): Message;
 	keyDone(message: MessageOf<'key-done'>): void;
 	keyQuery(message: MessageOf<'key-ask'>): Message;
--- a/packages/node/src/peers/is-reply.ts
+++ b/packages/node/src/peers/is-reply.ts
@@ -3,6 +3,7 @@
 type Reply = MessageOf<
 	| 'hello'
 	| 'outcome'
+	| 'stalled'
 	| 'probed'
 	| 'synced'
 	| 'key-told'
@@ -15,6 +16,7 @@
 const replyTypes = new Set<string>([
 	messageTypes.hello,
 	messageTypes.outcome,
+	messageTypes.stalled,
 	messageTypes.probed,
 	messageTypes.synced,
 	messageTypes.keyQueryReply,
--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -27,6 +27,19 @@
 
 type Reply = Message | undefined;
 
+type PendingReply = {
+	readonly settle: (reply: Reply) => void;
+	/** Takes the retries that a call returns when it stalls; undefined when it may not be repeated. */
+	readonly onStalled: ((unspent: number) => void) | undefined;
+};
+
+type Awaited = {
+	readonly id: number;
+	readonly timeoutMs: number;
+	readonly signal?: AbortSignal;
+	readonly onStalled?: PendingReply['onStalled'];
+};
+
 const connectTimeoutMs = 500;
 const requestTimeoutMs = 1000;
 const probeTimeoutMs = 400;
@@ -51,7 +64,7 @@
 
 	/** Resolves with whether the connection could be opened. */
 	readonly opened: Promise<boolean>;
-	private readonly pendingReplies = new Map<number, (reply: Reply) => void>();
+	private readonly pendingReplies = new Map<number, PendingReply>();
 	private link: Link | undefined;
 	private nextId = 1;
 	private lastUsedMs: number;
@@ -105,7 +118,7 @@
 			signal.removeEventListener('abort', stop);
 			socket.destroy();
 			this.resolveOpened?.(false);
-			for (const settle of this.pendingReplies.values()) {
+			for (const {settle} of this.pendingReplies.values()) {
 				settle(undefined);
 			}
 
@@ -122,6 +135,7 @@
 		mode: MessageOf<'call'>['mode'],
 		request: CallRequest,
 		signal: AbortSignal,
+		onStalled?: (unspent: number) => void,
 	): Promise<CallOutcome | undefined> {
 		const startMs = this.opts.clock.monotonic();
 		if (!request.idempotent && !(await this.isResponsive())) {
@@ -131,9 +145,17 @@
 
 		const id = this.nextId++;
 		const remainingMs = request.remainingMs - (this.opts.clock.monotonic() - startMs);
-		const reply = this.awaitReply(id, remainingMs + deadlineGraceMs, signal);
-		if (!this.send({type: messageTypes.call, id, mode, request: {...request, remainingMs}})) {
-			this.pendingReplies.get(id)?.(undefined);
+		const timeoutMs = remainingMs + deadlineGraceMs;
+		const reply = this.awaitReply({id, timeoutMs, signal, onStalled});
+		const call: MessageOf<'call'> = {
+			type: messageTypes.call,
+			id,
+			mode,
+			request: {...request, remainingMs},
+			...(onStalled ? {takesStalled: true} : {}),
+		};
+		if (!this.send(call)) {
+			this.pendingReplies.get(id)?.settle(undefined);
 			return undefined;
 		}
 
@@ -156,9 +178,9 @@
 	/** Sends a request and waits for its reply; undefined when none arrived. */
 	async request(build: (id: number) => Message): Promise<Reply> {
 		const id = this.nextId++;
-		const reply = this.awaitReply(id, requestTimeoutMs);
+		const reply = this.awaitReply({id, timeoutMs: requestTimeoutMs});
 		if (!this.send(build(id))) {
-			this.pendingReplies.get(id)?.(undefined);
+			this.pendingReplies.get(id)?.settle(undefined);
 		}
 
 		return reply;
@@ -196,12 +218,12 @@
 
 	private async probe(): Promise<boolean> {
 		const id = this.nextId++;
-		const reply = this.awaitReply(id, probeTimeoutMs);
+		const reply = this.awaitReply({id, timeoutMs: probeTimeoutMs});
 		this.send({type: messageTypes.probe, id});
 		return (await reply) !== undefined;
 	}
 
-	private async awaitReply(id: number, timeoutMs: number, signal?: AbortSignal): Promise<Reply> {
+	private async awaitReply({id, timeoutMs, signal, onStalled}: Awaited): Promise<Reply> {
 		return new Promise(resolve => {
 			const settle = (reply: Reply) => {
 				stopTimer();
@@ -216,7 +238,7 @@
 
 			const stopTimer = this.opts.clock.after(Math.max(0, timeoutMs), onAbort);
 			signal?.addEventListener('abort', onAbort, {once: true});
-			this.pendingReplies.set(id, settle);
+			this.pendingReplies.set(id, {settle, onStalled});
 			if (this.pendingReplies.size === 1) {
 				this.pendingSinceMs = this.opts.clock.monotonic();
 				this.wakeWatcher?.();
@@ -228,8 +250,10 @@
 		for (let batch = await link.receive(); batch; batch = await link.receive()) {
 			for (const message of batch) {
 				// A reply that is no longer pending arrived too late and is dropped.
-				if ('id' in message) {
-					this.pendingReplies.get(message.id)?.(message);
+				if (message.type === messageTypes.stalled) {
+					this.pendingReplies.get(message.id)?.onStalled?.(message.unspent);
+				} else if ('id' in message) {
+					this.pendingReplies.get(message.id)?.settle(message);
 				}
 			}
 		}
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -22,13 +22,23 @@
 	readonly canReach: (host: string, port: number) => boolean;
 };
 
+type OutgoingCall = {
+	readonly mode: MessageOf<'call'>['mode'];
+	readonly request: CallRequest;
+	readonly signal: AbortSignal;
+	/**
+	 * Takes the retries that the call returns once nothing shows whether its upstream has received it.
+	 */
+	readonly onStalled?: ((unspent: number) => void) | undefined;
+};
+
 const maxConnectAttempts = 2;
 
 /**
  * Connections to other nodes, one for each node, opened on demand.
  *
  * @example
- * const outcome = await peers.call(member, callModes.run, request, signal);
+ * const outcome = await peers.call(member, {mode: callModes.run, request, signal});
  */
 export class Peers {
 	/** Creates a set without connections. */
@@ -48,14 +58,12 @@
 	/** Sends a call to a node. A call that could not be sent is refused as not run. */
 	async call(
 		member: Member,
-		mode: MessageOf<'call'>['mode'],
-		request: CallRequest,
-		signal: AbortSignal,
+		{mode, request, signal, onStalled}: OutgoingCall,
 	): Promise<CallOutcome> {
 		// A connection that did not answer a probe was closed; a new one may work at once.
 		for (let attempt = 0; attempt < maxConnectAttempts; attempt++) {
 			const peer = await this.connect(member);
-			const outcome = await peer?.call(mode, request, signal);
+			const outcome = await peer?.call(mode, request, signal, onStalled);
 			if (outcome) {
 				return outcome;
 			}
--- a/packages/node/src/peers/serve-connection.ts
+++ b/packages/node/src/peers/serve-connection.ts
@@ -40,12 +40,16 @@
 		};
 
 		const executeCall = async (
-			{mode, request}: Extract<Message, {type: 'call'}>,
+			{id, mode, request, takesStalled}: Extract<Message, {type: 'call'}>,
 			callSignal: AbortSignal,
 		): Promise<CallOutcome> => {
+			const onStalled = (unspent: number) => {
+				link.send({type: messageTypes.stalled, id, unspent});
+			};
+
 			try {
 				return knownModes.has(mode)
-					? await handlers[mode](request, callSignal)
+					? await handlers[mode](request, callSignal, takesStalled ? onStalled : undefined)
 					: refusalOf(handlerFailed, runStates.notRun, 0);
 			} catch (error) {
 				log(events.taskFailed, {task: 'call', error: errorText(error)});
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -166,9 +166,9 @@
 	 */
 	const afterRejoin =
 		(handle: CallHandler, run: (typeof runStates)[keyof typeof runStates]): CallHandler =>
-		async (request, signal): Promise<CallOutcome> => {
+		async (request, signal, onStalled): Promise<CallOutcome> => {
 			if (!lifecycle.isLeaseExpired) {
-				return handle(request, signal);
+				return handle(request, signal, onStalled);
 			}
 
 			const startMs = clock.monotonic();
@@ -176,20 +176,23 @@
 			const remainingMs = request.remainingMs - (clock.monotonic() - startMs);
 			return signal.aborted || remainingMs <= 0
 				? refusalOf(pausedTooLong, run, request.allowance)
-				: handle({...request, remainingMs}, signal);
+				: handle({...request, remainingMs}, signal, onStalled);
 		};
 
 	const tracked =
 		(handle: CallHandler): CallHandler =>
-		async (request, signal) => {
-			const call = handle(request, signal);
+		async (request, signal, onStalled) => {
+			const call = handle(request, signal, onStalled);
 			lifecycle.track(call.then(() => {}));
 			return call;
 		};
 
 	return {
 		run: tracked(
-			afterRejoin(async (request, signal) => upstream.run(request, signal), runStates.notRun),
+			afterRejoin(
+				async (request, signal, onStalled) => upstream.run(request, signal, onStalled),
+				runStates.notRun,
+			),
 		),
 		own: tracked(afterRejoin(keyedCalls.run, runStates.unknown)),
 		spill: tracked(afterRejoin(router.spill, runStates.notRun)),
--- a/packages/node/src/upstream/execute.ts
+++ b/packages/node/src/upstream/execute.ts
@@ -27,6 +27,8 @@
 	readonly instance: string;
 	/** Called when another instance answers at the address of the upstream. */
 	readonly onReplaced: () => void;
+	/** Takes the retries that a call returns when it stalls; undefined when nobody would use them. */
+	readonly onStalled: ((unspent: number) => void) | undefined;
 };
 
 type Executed = {
@@ -46,17 +48,28 @@
 	signal: AbortSignal,
 ): Promise<Executed> => {
 	const {inFlight, silenceDetector, crashDetector, admission, pool, protocol, instance} = deps;
+	const {log, onStalled} = deps;
 	const connection = await pool.acquire(!request.idempotent);
 	const {token, call} = inFlight.open(request, signal);
-	const baselineMs = request.idempotent ? admission.baselineMs(request.job) : undefined;
+	const isWatched = request.idempotent && onStalled !== undefined;
 	const watch = silenceDetector.watch({
 		call,
 		pool,
-		baselineMs,
+		baselineMs: isWatched ? admission.baselineMs(request.job) : undefined,
 		signal,
 		abort() {
 			connection.abort();
 		},
+		onStalled(sign) {
+			log(events.callStalled, {
+				request: request.rootId,
+				service: request.service,
+				sign,
+				receivedBytes: connection.receivedBytes,
+				...timesOf(call),
+			});
+			onStalled?.(call.allowance.takeAll());
+		},
 	});
 	const answer = await connection.send({
 		method: request.method,
@@ -94,16 +107,16 @@
 	admission.release(request.job);
 	const {fault, mayHaveRun, wasClosed, receivedBytes, ending} = answer.error;
 	const reason = watch.endReason();
-	deps.log(events.callFailed, {
+	log(events.callFailed, {
 		request: request.rootId,
 		service: request.service,
 		reason: reason ?? (pool.isDestroyed ? endReasons.withdrawn : undefined),
 		ending,
 		receivedBytes,
 		error: fault.what,
-		tookMs: Math.round(call.heldMs),
-		leftMs: Math.round(call.deadlineMs - call.startMs - call.heldMs),
+		...timesOf(call),
 	});
+	const isLate = reason === endReasons.deadline;
 	if (wasClosed) {
 		crashDetector.noteLost(request);
 	}
@@ -112,7 +125,7 @@
 		call,
 		result: {
 			kind: 'refusal',
-			fault: reason === undefined ? fault.kind : faultKinds.deadlineExceeded,
+			fault: isLate ? faultKinds.deadlineExceeded : fault.kind,
 			what: fault.what,
 			remedy: fault.remedy,
 			run: mayHaveRun ? runStates.unknown : runStates.notRun,
@@ -121,6 +134,11 @@
 	};
 };
 
+const timesOf = ({heldMs, startMs, deadlineMs}: InFlightCall) => ({
+	tookMs: Math.round(heldMs),
+	leftMs: Math.round(deadlineMs - startMs - heldMs),
+});
+
 const refusal = (fault: Fault, run: Refusal['run']): Refusal => ({
 	kind: 'refusal',
 	fault: fault.kind,
--- a/packages/node/src/upstream/silence-detector.ts
+++ b/packages/node/src/upstream/silence-detector.ts
@@ -1,9 +1,11 @@
 import type {Clock} from '@medlarsaddle/core';
 import {CallEnded, endReasons} from '@medlarsaddle/wire';
-import type {InFlightCall} from './in-flight-call.js';
 import type {ConnectionPool} from './connection-pool.js';
+import type {InFlightCall} from './in-flight-call.js';
+import {stallSigns} from './stall-signs.js';
 
 type EndReason = (typeof endReasons)[keyof typeof endReasons];
+type StallSign = (typeof stallSigns)[keyof typeof stallSigns];
 
 type Watched = {
 	readonly call: InFlightCall;
@@ -14,6 +16,8 @@
 	readonly signal: AbortSignal;
 	/** Aborts the call. */
 	readonly abort: () => void;
+	/** Called once, when the connection of the call may be silent. The call goes on. */
+	readonly onStalled: (sign: StallSign) => void;
 };
 
 const silenceTimeoutFactor = 8;
@@ -28,11 +32,12 @@
 const maxRecentStarts = 32;
 
 /**
- * Aborts calls when their caller leaves and at their deadline, and retryable calls earlier, once their connection appears to be
- * silent and the upstream is not merely slow.
+ * Aborts calls when their caller leaves and at their deadline, and reports retryable calls whose
+ * connection may be silent. An upstream whose calls wait for a slow service looks the same, so that
+ * is no reason to end a call.
  *
  * @example
- * const watch = silenceDetector.watch({call, pool, baselineMs, signal, abort});
+ * const watch = silenceDetector.watch({call, pool, baselineMs, signal, abort, onStalled});
  * watch.stop();
  */
 export class SilenceDetector {
@@ -57,13 +62,13 @@
 	}
 
 	/** Watches a call until `stop` is called. */
-	watch({call, pool, baselineMs, signal, abort}: Watched): {
+	watch({call, pool, baselineMs, signal, abort, onStalled}: Watched): {
 		/** Why the call was aborted; undefined when it was not. */
 		readonly endReason: () => EndReason | undefined;
 		readonly stop: () => void;
 	} {
 		const {clock} = this;
-		const silenceTimeoutMs =
+		let silenceTimeoutMs =
 			baselineMs === undefined
 				? Number.POSITIVE_INFINITY
 				: Math.max(minSilenceTimeoutMs, baselineMs * silenceTimeoutFactor);
@@ -92,18 +97,21 @@
 				return;
 			}
 
-			const isSilent = call.ownMs >= silenceTimeoutMs && (await this.isSilent(call, pool));
-			// The call may have ended meanwhile, and its connection may carry another one.
-			if (isStopped) {
-				return;
+			if (call.ownMs >= silenceTimeoutMs) {
+				const sign = await this.signOfSilence(call, pool);
+				// The call may have ended meanwhile, and its connection may carry another one.
+				if (isStopped) {
+					return;
+				}
+
+				if (sign !== undefined) {
+					silenceTimeoutMs = Number.POSITIVE_INFINITY;
+					pool.requireProbes();
+					onStalled(sign);
+				}
 			}
 
-			if (isSilent) {
-				pool.requireProbes();
-				abortCall(endReasons.silence);
-			} else {
-				scheduleCheck();
-			}
+			scheduleCheck();
 		};
 
 		scheduleCheck();
@@ -122,17 +130,17 @@
 		};
 	}
 
-	/**
-	 * Whether later calls have overtaken a call, or no call has ended since it started although the
-	 * upstream answers on a new connection.
-	 */
-	private async isSilent(call: InFlightCall, pool: ConnectionPool): Promise<boolean> {
+	/** What may show that the connection of a call is silent; undefined when nothing does. */
+	private async signOfSilence(
+		call: InFlightCall,
+		pool: ConnectionPool,
+	): Promise<StallSign | undefined> {
 		const overtaking = this.recentStartsMs.filter(startMs => startMs > call.startMs).length;
-		const hasLaterEnd = this.lastEndMs > call.startMs;
 		if (overtaking >= minOvertakingCalls) {
-			return true;
+			return stallSigns.overtaken;
 		}
 
-		return hasLaterEnd ? false : pool.isAnswering();
+		const hasLaterEnd = this.lastEndMs > call.startMs;
+		return !hasLaterEnd && (await pool.isAnswering()) ? stallSigns.unanswered : undefined;
 	}
 }
--- a/packages/node/src/upstream/upstream-proxy.ts
+++ b/packages/node/src/upstream/upstream-proxy.ts
@@ -190,8 +190,15 @@
 		}
 	}
 
-	/** Admits a call and runs it on the upstream, or refuses it. */
-	async run(request: CallRequest, signal: AbortSignal): Promise<CallOutcome> {
+	/**
+	 * Admits a call and runs it on the upstream, or refuses it. `onStalled` takes the retries that the
+	 * call returns once nothing shows whether the upstream has received it; the call goes on.
+	 */
+	async run(
+		request: CallRequest,
+		signal: AbortSignal,
+		onStalled?: (unspent: number) => void,
+	): Promise<CallOutcome> {
 		const {current} = this;
 		if (current?.announcement.service !== request.service) {
 			return this.refuse(request, proxyFaults.serviceNotServed);
@@ -247,6 +254,7 @@
 				protocol,
 				instance,
 				onReplaced,
+				onStalled,
 				...current,
 			};
 			const {call, result} = await execute(deps, {...request, remainingMs}, signal);
--- a/packages/node/test/silence-detector.test.ts
+++ b/packages/node/test/silence-detector.test.ts
@@ -33,6 +33,7 @@
 		pool,
 		baselineMs: undefined,
 		signal: caller.signal,
+		onStalled() {},
 		abort() {
 			abortedMs = clock.monotonic();
 		},
@@ -86,6 +87,7 @@
 			abort() {
 				aborts++;
 			},
+			onStalled() {},
 		});
 		await clock.advance(310);
 		stop();
@@ -94,3 +96,25 @@
 		assert.equal(aborts, 0);
 	});
 }
+
+// An upstream whose calls wait for a slow service answers its health check as well.
+test('a call is ended as silent while its upstream may be at work', async () => {
+	const clock = ManualClock.at(0);
+	const {signal} = new AbortController();
+	const events: string[] = [];
+	const {endReason} = SilenceDetector.create(clock).watch({
+		call: InFlightCall.open({...request, idempotent: true}, signal, clock),
+		pool,
+		baselineMs: 10,
+		signal,
+		abort() {
+			events.push(`aborted at ${clock.monotonic()}`);
+		},
+		onStalled(sign) {
+			events.push(`${sign} at ${clock.monotonic()}`);
+		},
+	});
+	await clock.advance(1000);
+	assert.deepEqual(events, ['unanswered at 300', 'aborted at 450']);
+	assert.equal(endReason(), endReasons.deadline);
+});
--- a/packages/wire/src/end-reasons.ts
+++ b/packages/wire/src/end-reasons.ts
@@ -13,8 +13,8 @@
 	linkLost: 'link-lost',
 	/** The node beside the upstream stops. */
 	nodeStopped: 'node-stopped',
-	/** The connection to the upstream seemed to be silent. */
-	silence: 'silence',
+	/** Another attempt of the call has answered. */
+	superseded: 'superseded',
 	/** The upstream was withdrawn or replaced. */
 	withdrawn: 'withdrawn',
 } as const;
--- a/packages/wire/src/message-layouts.ts
+++ b/packages/wire/src/message-layouts.ts
@@ -73,6 +73,7 @@
 		id: asIs,
 		mode: asIs,
 		request,
+		takesStalled: asIs,
 	}),
 	[messageTypes.outcome]: defineLayout<MessageOf<'outcome'>>({type: asIs, id: asIs, outcome}),
 } as const;
--- a/packages/wire/src/message-types.ts
+++ b/packages/wire/src/message-types.ts
@@ -1,12 +1,13 @@
 /**
  * Types of message on a stream between nodes. A reply is named by the past participle of its
  * request, such as `probed`, except that `outcome` answers `call` and `keyQueryReply` answers
- * `keyQuery`. `hello`, `cancel` and `keyDone` have no reply.
+ * `keyQuery`. `hello`, `stalled`, `cancel` and `keyDone` have no reply.
  */
 export const messageTypes = {
 	hello: 'hello',
 	call: 'call',
 	outcome: 'outcome',
+	stalled: 'stalled',
 	cancel: 'cancel',
 	probe: 'probe',
 	probed: 'probed',
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -17,6 +17,8 @@
 	readonly id: number;
 	readonly mode: (typeof callModes)[keyof typeof callModes];
 	readonly request: CallRequest;
+	/** Whether the calling node takes `stalled`; absent from nodes of earlier versions. */
+	readonly takesStalled?: boolean;
 };
 
 type Outcome = {
@@ -25,6 +27,17 @@
 	readonly outcome: CallOutcome;
 };
 
+/**
+ * Reports that nothing shows whether the upstream has received a call. The call goes on, and its
+ * outcome still comes.
+ */
+type Stalled = {
+	readonly type: typeof types.stalled;
+	readonly id: number;
+	/** Retries that the call held and returns. */
+	readonly unspent: number;
+};
+
 type Cancel = {
 	readonly type: typeof types.cancel;
 	readonly id: number;
@@ -171,6 +184,7 @@
 	| Hello
 	| Call
 	| Outcome
+	| Stalled
 	| Cancel
 	| Probe
 	| Probed
