--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -44,6 +44,7 @@
 	),
 	peerConnected: define('MS3101', 'debug', 'peer link opened'),
 	peerDisconnected: define('MS3102', 'info', 'peer link closed'),
+	peerSilent: define('MS3105', 'info', 'peer link is silent and takes no new calls'),
 	peerProtocolError: define('MS3103', 'warn', 'peer sent bytes that are not a message'),
 	syncFailed: define('MS3104', 'warn', 'state of another member could not be fetched'),
 	policyInForce: define('MS4001', 'info', 'policy section is in force'),
--- a/packages/node/src/calls/call-sender.ts
+++ b/packages/node/src/calls/call-sender.ts
@@ -23,6 +23,8 @@
 	readonly createRetryBudget: () => RetryBudget;
 	/** Refusals after which another endpoint is tried without spending a retry. */
 	readonly freeRetryFaults: ReadonlySet<string>;
+	/** Whether the calls below a request share its retries, so that each attempt takes some along. */
+	readonly sharesRetries: boolean;
 	/** Whether retries are limited by a budget; turned off only for comparison. */
 	readonly hasRetryBudget: boolean;
 };
@@ -83,7 +85,8 @@
 
 			tried.add(endpoint.node);
 			onTried(endpoint.node);
-			const attempt = {...request, remainingMs, allowance: allowance.split()};
+			const share = this.opts.sharesRetries ? allowance.split() : 0;
+			const attempt = {...request, remainingMs, allowance: share};
 			attempts.start(endpoint, async (attemptSignal, onStalled) =>
 				this.sendTo(endpoint, attempt, attemptSignal, onStalled),
 			);
--- a/packages/node/src/calls/keyed-call-runner.ts
+++ b/packages/node/src/calls/keyed-call-runner.ts
@@ -159,14 +159,14 @@
 		request: CallRequest,
 		signal: AbortSignal,
 	): Promise<CallOutcome> {
-		const {clock, peers, gossip} = this.opts;
+		const {clock, gossip} = this.opts;
 		const endMs = clock.monotonic() + Math.min(successorWaitMs, request.remainingMs);
 		const tried = new Set<string>();
 		do {
 			const issuer = this.issuerOf(key);
 			if (issuer && issuer.id !== gossip.self.id && !tried.has(issuer.id)) {
 				tried.add(issuer.id);
-				const outcome = await peers.call(issuer, {mode: callModes.own, request, signal});
+				const outcome = await this.callIssuer(key, issuer, request, signal);
 				if (!isUnreachable(outcome)) {
 					return outcome;
 				}
@@ -184,6 +184,36 @@
 			: refusalOf(keyFaults.issuerUnavailable, runStates.unknown, 0);
 	}
 
+	/** Calls the issuer of a key. While the link to it is silent, a stored answer is as good as its own. */
+	private async callIssuer(
+		key: IdempotencyKey,
+		issuer: Member,
+		request: CallRequest,
+		signal: AbortSignal,
+	): Promise<CallOutcome> {
+		const {peers} = this.opts;
+		const mode = callModes.own;
+		return new Promise((resolve, reject) => {
+			const onStalled = async () => {
+				const answer = await this.findAnswer(key, request);
+				if (answer) {
+					resolve({result: answer, cutoffs: [], load: 0, unspent: 0});
+				}
+			};
+
+			peers
+				.call(issuer, {
+					mode,
+					request,
+					signal,
+					onStalled() {
+						onStalled().catch(reject);
+					},
+				})
+				.then(resolve, reject);
+		});
+	}
+
 	/** The process that may start the request of a key: its issuer or the successor of that. */
 	private issuerOf({parts: {node, incarnation}}: IdempotencyKey): Member | undefined {
 		const {directory} = this.opts;
--- a/packages/node/src/peers/peer-faults.ts
+++ b/packages/node/src/peers/peer-faults.ts
@@ -7,6 +7,11 @@
 		'The connection ended before the answer came',
 		'Look up whether the action took effect before sending it again',
 	),
+	givenUp: Fault.of(
+		faultKinds.cancelled,
+		'The call was given up before the answer came',
+		'Send it again if the answer is still wanted',
+	),
 	deadlineExceeded: Fault.of(
 		faultKinds.deadlineExceeded,
 		'The answer did not come before the deadline',
--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -16,6 +16,7 @@
 	runStates,
 } from '@medlarsaddle/wire';
 import {peerFaults} from './peer-faults.js';
+import {PendingReplies} from './pending-replies.js';
 import {refusalOf} from './refusal-of.js';
 
 type Opts = {
@@ -25,33 +26,20 @@
 	readonly hello: MessageOf<'hello'>;
 };
 
-type Reply = Message | undefined;
-
-type PendingReply = {
-	readonly settle: (reply: Reply) => void;
-	/** Takes the retries that a call returns when it stalls; undefined when it may not be repeated. */
-	readonly onStalled: ((unspent: number) => void) | undefined;
-};
-
-type Awaited = {
-	readonly id: number;
-	readonly timeoutMs: number;
-	readonly signal?: AbortSignal;
-	readonly onStalled?: PendingReply['onStalled'];
-};
-
 const connectTimeoutMs = 500;
 const requestTimeoutMs = 1000;
 const probeTimeoutMs = 400;
 const responsiveForMs = 150;
 const silenceCheckPeriodMs = 200;
 const probeAfterSilenceMs = 400;
-const closeAfterSilenceMs = 1200;
+const retireAfterSilenceMs = 1200;
 const idleTimeoutMs = 60_000;
 const deadlineGraceMs = 100;
 
 /**
- * The connection that this node opens to one other node, with the replies that are pending on it.
+ * The connection that this node opens to one other node, with the replies that are pending on it. One
+ * that is silent while replies are pending is retired: it takes no new messages, and stays open for
+ * those replies, because a lossy link or a busy node is silent as well.
  *
  * @example
  * const outcome = await peer.call(callModes.run, request, signal);
@@ -64,18 +52,23 @@
 
 	/** Resolves with whether the connection could be opened. */
 	readonly opened: Promise<boolean>;
-	private readonly pendingReplies = new Map<number, PendingReply>();
+	private readonly replies: PendingReplies;
 	private link: Link | undefined;
 	private nextId = 1;
 	private lastUsedMs: number;
-	/** Monotonic time since when at least one reply has been pending. */
-	private pendingSinceMs = 0;
+	private isRetired = false;
 	private resolveOpened: ((isOpen: boolean) => void) | undefined;
 	/** Wakes the task that watches for silence, while it waits for a reply to be pending. */
 	private wakeWatcher: (() => void) | undefined;
 
 	private constructor(private readonly opts: Opts) {
 		this.lastUsedMs = opts.clock.monotonic();
+		this.replies = PendingReplies.create({
+			clock: opts.clock,
+			onFirst: () => {
+				this.wakeWatcher?.();
+			},
+		});
 		this.opened = new Promise(resolve => {
 			this.resolveOpened = resolve;
 		});
@@ -86,9 +79,12 @@
 		return this.link?.isOpen ?? false;
 	}
 
-	/** Whether the connection was open and has been closed; its task may still have to end. */
-	get isClosed(): boolean {
-		return this.link?.isOpen === false;
+	/**
+	 * Whether the connection takes no more messages: it was open and has been closed, or it was retired.
+	 * Its task may still have to end.
+	 */
+	get isSpent(): boolean {
+		return this.isRetired || this.link?.isOpen === false;
 	}
 
 	/** Task of the connection: opens it, reads replies until it ends, then fails pending requests. */
@@ -106,23 +102,17 @@
 			this.resolveOpened?.(true);
 			log(events.peerConnected, {peer: member.id});
 			await Promise.race([this.readReplies(link), this.watchSilence(link)]);
-			if (this.pendingReplies.size > 0) {
-				// A link that ends by itself reads its end; one that is still open here was silent.
-				const cause = link.isOpen ? 'silent' : 'ended';
-				log(events.peerDisconnected, {peer: member.id, cause, pending: this.pendingReplies.size});
+			if (this.replies.size > 0) {
+				log(events.peerDisconnected, {peer: member.id, pending: this.replies.size});
 			}
 		} catch (error) {
-			const pending = this.pendingReplies.size;
+			const pending = this.replies.size;
 			log(events.peerDisconnected, {peer: member.id, error: errorText(error), pending});
 		} finally {
 			signal.removeEventListener('abort', stop);
 			socket.destroy();
 			this.resolveOpened?.(false);
-			for (const {settle} of this.pendingReplies.values()) {
-				settle(undefined);
-			}
-
-			this.pendingReplies.clear();
+			this.replies.settleAll();
 			this.wakeWatcher?.();
 		}
 	};
@@ -139,14 +129,14 @@
 	): Promise<CallOutcome | undefined> {
 		const startMs = this.opts.clock.monotonic();
 		if (!request.idempotent && !(await this.isResponsive())) {
-			this.link?.close();
+			this.retire();
 			return undefined;
 		}
 
 		const id = this.nextId++;
 		const remainingMs = request.remainingMs - (this.opts.clock.monotonic() - startMs);
 		const timeoutMs = remainingMs + deadlineGraceMs;
-		const reply = this.awaitReply({id, timeoutMs, signal, onStalled});
+		const reply = this.replies.wait({id, timeoutMs, signal, onStalled});
 		const call: MessageOf<'call'> = {
 			type: messageTypes.call,
 			id,
@@ -155,7 +145,7 @@
 			...(onStalled ? {takesStalled: true} : {}),
 		};
 		if (!this.send(call)) {
-			this.pendingReplies.get(id)?.settle(undefined);
+			this.replies.settle(id, undefined);
 			return undefined;
 		}
 
@@ -168,19 +158,17 @@
 		const endReason = signal.aborted ? CallEnded.reasonOf(signal) : endReasons.linkLost;
 		const reason = isLate ? endReasons.deadline : endReason;
 		this.send({type: messageTypes.cancel, id, reason});
-		return refusalOf(
-			isLate || signal.aborted ? peerFaults.deadlineExceeded : peerFaults.connectionLost,
-			runStates.unknown,
-			0,
-		);
+		const isGivenUp = signal.aborted && !this.isRetired;
+		const fault = isGivenUp ? peerFaults.givenUp : peerFaults.connectionLost;
+		return refusalOf(isLate ? peerFaults.deadlineExceeded : fault, runStates.unknown, 0);
 	}
 
 	/** Sends a request and waits for its reply; undefined when none arrived. */
-	async request(build: (id: number) => Message): Promise<Reply> {
+	async request(build: (id: number) => Message): Promise<Message | undefined> {
 		const id = this.nextId++;
-		const reply = this.awaitReply({id, timeoutMs: requestTimeoutMs});
+		const reply = this.replies.wait({id, timeoutMs: requestTimeoutMs});
 		if (!this.send(build(id))) {
-			this.pendingReplies.get(id)?.settle(undefined);
+			this.replies.settle(id, undefined);
 		}
 
 		return reply;
@@ -188,7 +176,7 @@
 
 	/** Closes the connection, unless replies are pending on it. */
 	closeIfIdle(): void {
-		if (this.pendingReplies.size === 0) {
+		if (this.replies.size === 0) {
 			this.link?.close();
 		}
 	}
@@ -218,42 +206,18 @@
 
 	private async probe(): Promise<boolean> {
 		const id = this.nextId++;
-		const reply = this.awaitReply({id, timeoutMs: probeTimeoutMs});
+		const reply = this.replies.wait({id, timeoutMs: probeTimeoutMs});
 		this.send({type: messageTypes.probe, id});
 		return (await reply) !== undefined;
 	}
 
-	private async awaitReply({id, timeoutMs, signal, onStalled}: Awaited): Promise<Reply> {
-		return new Promise(resolve => {
-			const settle = (reply: Reply) => {
-				stopTimer();
-				signal?.removeEventListener('abort', onAbort);
-				this.pendingReplies.delete(id);
-				resolve(reply);
-			};
-
-			const onAbort = () => {
-				settle(undefined);
-			};
-
-			const stopTimer = this.opts.clock.after(Math.max(0, timeoutMs), onAbort);
-			signal?.addEventListener('abort', onAbort, {once: true});
-			this.pendingReplies.set(id, {settle, onStalled});
-			if (this.pendingReplies.size === 1) {
-				this.pendingSinceMs = this.opts.clock.monotonic();
-				this.wakeWatcher?.();
-			}
-		});
-	}
-
 	private async readReplies(link: Link): Promise<void> {
 		for (let batch = await link.receive(); batch; batch = await link.receive()) {
 			for (const message of batch) {
-				// A reply that is no longer pending arrived too late and is dropped.
 				if (message.type === messageTypes.stalled) {
-					this.pendingReplies.get(message.id)?.onStalled?.(message.unspent);
+					this.replies.stall(message.id, message.unspent);
 				} else if ('id' in message) {
-					this.pendingReplies.get(message.id)?.settle(message);
+					this.replies.settle(message.id, message);
 				}
 			}
 		}
@@ -271,33 +235,50 @@
 		this.wakeWatcher = undefined;
 	}
 
-	/** Ends when the connection is silent while replies are pending, or was idle for too long. */
+	/** Ends when the connection was idle for too long, or is retired and no reply is pending any more. */
 	private async watchSilence(link: Link): Promise<void> {
 		while (link.isOpen) {
-			if (this.pendingReplies.size === 0) {
+			if (this.replies.size === 0) {
+				if (this.isRetired) {
+					return;
+				}
+
 				// A node has links to most others and uses few at a time, so idle ones set no timer.
 				await this.untilPending(idleTimeoutMs);
 				const idleMs = this.opts.clock.monotonic() - this.lastUsedMs;
-				if (this.pendingReplies.size === 0 && idleMs >= idleTimeoutMs) {
+				if (this.replies.size === 0 && idleMs >= idleTimeoutMs) {
 					return;
 				}
 			} else if (await this.isSilent(link)) {
-				return;
+				this.retire();
 			}
 		}
 	}
 
+	/** Takes no more messages. Calls in flight go on, and those that may be repeated are tried elsewhere. */
+	private retire(): void {
+		if (!this.isOpen || this.isRetired) {
+			return;
+		}
+
+		const {log, member} = this.opts;
+		this.isRetired = true;
+		log(events.peerSilent, {peer: member.id, pending: this.replies.size});
+		this.replies.stallAll();
+		this.wakeWatcher?.();
+	}
+
 	/** Waits for the next check, and probes a connection that is silent while replies are pending. */
 	private async isSilent(link: Link): Promise<boolean> {
 		const {clock} = this.opts;
 		await clock.sleep(alignedDelayMs(clock.monotonic(), silenceCheckPeriodMs));
 		// Before the first pending reply, a link may rightly have been silent for a long time.
-		const sinceMs = Math.max(link.lastReceivedMs, this.pendingSinceMs);
-		const silenceMs = this.pendingReplies.size === 0 ? 0 : clock.monotonic() - sinceMs;
-		if (silenceMs > probeAfterSilenceMs && silenceMs <= closeAfterSilenceMs) {
+		const sinceMs = Math.max(link.lastReceivedMs, this.replies.sinceMs);
+		const silenceMs = this.replies.size === 0 ? 0 : clock.monotonic() - sinceMs;
+		if (silenceMs > probeAfterSilenceMs && silenceMs <= retireAfterSilenceMs) {
 			link.send({type: messageTypes.probe, id: 0});
 		}
 
-		return silenceMs > closeAfterSilenceMs;
+		return silenceMs > retireAfterSilenceMs;
 	}
 }
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -102,7 +102,7 @@
 
 		const key = `${member.id}#${member.incarnation}`;
 		const existing = this.peersByKey.get(key);
-		if (existing && !existing.isClosed) {
+		if (existing && !existing.isSpent) {
 			return (await existing.opened) ? existing : undefined;
 		}
 
--- a/packages/node/src/root/job-strategy.ts
+++ b/packages/node/src/root/job-strategy.ts
@@ -20,6 +20,7 @@
 		}),
 	// These refusals result from an outdated list of endpoints, and no upstream has seen the call.
 	freeRetryFaults: new Set([faultKinds.draining, faultKinds.noEndpoint, faultKinds.unreachable]),
+	sharesRetries: true,
 	// Two processes with one ID would both issue idempotency keys.
 	keepsNodeId: false,
 };
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -62,6 +62,7 @@
 							maxTokens: () => settings.retryBurst / gossip.table.alive.length,
 						}),
 					freeRetryFaults: strategy.freeRetryFaults,
+					sharesRetries: strategy.sharesRetries,
 					hasRetryBudget: settings.admission === 'on',
 				}),
 		),
--- a/packages/node/src/root/route-strategy.ts
+++ b/packages/node/src/root/route-strategy.ts
@@ -27,6 +27,8 @@
 		faultKinds.overloaded,
 		faultKinds.unreachable,
 	]),
+	// A call below is a request with retries of its own.
+	sharesRetries: false,
 	// The platform runs one process on each host, so a later incarnation is that of an earlier
 	// process whose clock was ahead.
 	keepsNodeId: true,
--- a/packages/node/src/root/strategy.ts
+++ b/packages/node/src/root/strategy.ts
@@ -32,6 +32,8 @@
 	readonly createAdmission: (deps: AdmissionDeps) => Admission;
 	/** Faults of refusals after which another endpoint may be tried without spending a retry. */
 	readonly freeRetryFaults: ReadonlySet<string>;
+	/** Whether the calls below a request share its retries, so that each attempt takes some along. */
+	readonly sharesRetries: boolean;
 	/** Whether a process that learns of a later one with its ID keeps the ID instead of draining. */
 	readonly keepsNodeId: boolean;
 };
--- a/packages/node/test/call-sender.test.ts
+++ b/packages/node/test/call-sender.test.ts
@@ -91,6 +91,7 @@
 		selector: selector ?? createTwoChoiceSelector({clock, random: createRandom(1), directory}),
 		createRetryBudget: () => RetryBudget.create({ratio: 0, maxTokens: () => 1}),
 		freeRetryFaults,
+		sharesRetries: true,
 		hasRetryBudget: true,
 	});
 };
--- a/packages/node/test/peer.test.ts
+++ b/packages/node/test/peer.test.ts
@@ -2,9 +2,10 @@
 import {once} from 'node:events';
 import net from 'node:net';
 import {test} from 'node:test';
-import {type Clock, ManualClock} from '@medlarsaddle/core';
+import {setImmediate} from 'node:timers/promises';
+import {type Clock, ManualClock, faultKinds} from '@medlarsaddle/core';
 import {memberStates} from '@medlarsaddle/members';
-import {Link, type Message, callModes, messageTypes} from '@medlarsaddle/wire';
+import {Link, type Message, type MessageOf, callModes, messageTypes} from '@medlarsaddle/wire';
 import {Peer} from '../src/peers/peer.js';
 
 const request = {
@@ -106,3 +107,76 @@
 	socket.destroy();
 	server.close();
 });
+
+// A lossy link, a busy node or one that stands still is silent as well, and its upstream may be at work.
+test('a call is ended because the link to its node is silent for a while', async () => {
+	const clock = ManualClock.at(0);
+	const {abort, ended, peer, server, socket} = await openPeer(clock);
+	const link = Link.over(socket, clock);
+	const messages = link.messages();
+	let stalls = 0;
+	let hasEnded = false;
+	const outcome = peer.call(callModes.run, request, abort.signal, () => {
+		stalls++;
+	});
+	void outcome.then(() => {
+		hasEnded = true;
+	});
+	assert.equal(await typeOfNext(messages), messageTypes.hello);
+	const {value: call} = (await messages.next()) as {value: MessageOf<'call'>};
+	for (let elapsedMs = 0; elapsedMs < 2000; elapsedMs += 100) {
+		await clock.advance(100);
+	}
+
+	assert.equal(hasEnded, false);
+	assert.equal(stalls, 1);
+	const answer = {kind: 'answer', status: 200, headers: [], body: new Uint8Array()} as const;
+	const answered = {result: answer, cutoffs: [], load: 0, unspent: 0};
+	link.send({type: messageTypes.outcome, id: call.id, outcome: answered});
+	assert.equal((await outcome)?.result.kind, 'answer');
+	abort.abort();
+	await ended;
+	socket.destroy();
+	server.close();
+});
+
+// The check before an action is sent closed the connection, with the calls of others on it.
+test('calls in flight are ended because their link did not answer before an action was sent', async () => {
+	const clock = ManualClock.at(0);
+	const {abort, ended, peer, server, socket} = await openPeer(clock);
+	const link = Link.over(socket, clock);
+	const messages = link.messages();
+	let hasEnded = false;
+	const outcome = peer.call(callModes.run, request, abort.signal);
+	void outcome.then(() => {
+		hasEnded = true;
+	});
+	assert.equal(await typeOfNext(messages), messageTypes.hello);
+	assert.equal(await typeOfNext(messages), messageTypes.call);
+	await clock.advance(200);
+	const action = peer.call(callModes.run, {...request, idempotent: false}, abort.signal);
+	assert.equal(await typeOfNext(messages), messageTypes.probe);
+	await clock.advance(400);
+	assert.equal(await action, undefined);
+	await setImmediate();
+	assert.equal(hasEnded, false);
+	abort.abort();
+	await ended;
+	await outcome;
+	socket.destroy();
+	server.close();
+});
+
+test('a call whose caller left is reported as late', async () => {
+	const clock = ManualClock.at(0);
+	const {abort, ended, peer, server, socket} = await openPeer(clock);
+	const caller = new AbortController();
+	const outcome = peer.call(callModes.run, request, caller.signal);
+	caller.abort();
+	const result = (await outcome)?.result;
+	assert.equal(result?.kind === 'refusal' && result.fault, faultKinds.cancelled);
+	abort.abort();
+	await ended;
+	socket.destroy();
+	server.close();
+});
