--- a/packages/testbed/src/harness/gossip-network.ts
+++ b/packages/testbed/src/harness/gossip-network.ts
@@ -142,7 +142,7 @@
 		this.membersByPort.delete(member.port);
 	}
 
-	/** Stops or resumes delivery to a member, as when its process is paused. */
+	/** Stops or resumes a member, as when its process is paused: it sends nothing and hears later. */
 	pause(member: SimulatedMember, isPaused: boolean): void {
 		member.isPaused = isPaused;
 		if (!isPaused) {
@@ -182,6 +182,10 @@
 	}
 
 	private deliver(fromPort: number, to: Address, datagram: Datagram): void {
+		if (this.membersByPort.get(fromPort)?.isPaused) {
+			return;
+		}
+
 		const bytes = codec.encode(datagram);
 		this.sent.datagrams++;
 		this.sent.bytes += bytes.length;
--- a/packages/testbed/src/harness/store-fleet.ts
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -51,6 +51,8 @@
 	}
 
 	readonly network: GossipNetwork;
+	/** Latest version of the configuration that was written. */
+	version = 0;
 	/** Calls since the start, by kind. */
 	readonly calls = new Map<string, number>();
 	/** Hosts that the store turns away. */
@@ -62,7 +64,6 @@
 	/** Hosts whose watches never report anything, as on a connection that has silently failed. */
 	readonly silent = new Set<string>();
 	private readonly objects: ObjectTable;
-	private version = 0;
 	/** Watches that began earlier, in monotonic milliseconds, wait on connections that carry nothing. */
 	private silencedBeforeMs = Number.NEGATIVE_INFINITY;
 	/** Number of times that all waiting watches were cut off. */
