--- a/packages/testbed/src/harness/daemon-on-platform.ts
+++ b/packages/testbed/src/harness/daemon-on-platform.ts
@@ -17,6 +17,8 @@
 	readonly storeUrl: string;
 	/** Program of the daemon, and the flags of Node.js; those of this project by default. */
 	readonly daemon?: {readonly script: string; readonly flags: readonly string[]};
+	/** Limits of its machine; none by default. */
+	readonly limits?: {readonly memoryMb: number; readonly maxFds: number};
 	/** Additional settings, as environment variables. */
 	readonly env?: Readonly<Record<string, string>>;
 };
@@ -43,6 +45,7 @@
 		upstreamAddress,
 		storeUrl,
 		daemon = {script: programs.daemon, flags: []},
+		limits,
 		env = {},
 	}: Opts): Promise<DaemonOnPlatform> {
 		const folder = await mkdtemp(path.join(os.tmpdir(), 'medlarsaddle-'));
@@ -58,6 +61,7 @@
 			service,
 			appAddr: upstreamAddress,
 			bounds: ['graceS=6'],
+			...(limits ? {limits} : {}),
 			platform: {address: storeUrl.replace('http://', ''), readsPerS: 2000},
 		};
 		await writeFile(file, JSON.stringify(settings));
--- a/packages/testbed/src/harness/routed-host.ts
+++ b/packages/testbed/src/harness/routed-host.ts
@@ -1,3 +1,4 @@
+import type {Readable} from 'node:stream';
 import {request} from 'undici';
 import type {Child} from '../deploy/child.js';
 import {RoutedUpstream} from '../upstream/routed-upstream.js';
@@ -10,6 +11,8 @@
 	readonly storeUrl: string;
 	/** Program of the daemon; that of this project by default. */
 	readonly daemon?: {readonly script: string; readonly flags: readonly string[]};
+	/** Limits of its machine; none by default. */
+	readonly limits?: {readonly memoryMb: number; readonly maxFds: number};
 };
 
 type Answer = {
@@ -36,6 +39,7 @@
 		service,
 		storeUrl,
 		daemon: program,
+		limits,
 	}: Opts): Promise<RoutedHost> {
 		const upstream = await RoutedUpstream.start(service, `i-${id}`);
 		const daemon = await DaemonOnPlatform.start({
@@ -45,6 +49,7 @@
 			upstreamAddress: upstream.address,
 			storeUrl,
 			...(program ? {daemon: program} : {}),
+			...(limits ? {limits} : {}),
 		});
 		return new RoutedHost(daemon, upstream);
 	}
@@ -95,6 +100,16 @@
 		return {status: reply.statusCode, headers: reply.headers, body: await reply.body.text()};
 	}
 
+	/** Sends a body to the daemon as a caller, in one request that may take as long as its route. */
+	async put(target: string, body: Uint8Array | Readable): Promise<Answer> {
+		const reply = await request(`http://127.0.0.1:${this.callerPort}${target}`, {
+			method: 'PUT',
+			headers: {host: 'shop.example', 'attempt-id': `put${target}`},
+			body,
+		});
+		return {status: reply.statusCode, headers: reply.headers, body: await reply.body.text()};
+	}
+
 	/** Waits until a condition holds; rejects after a timeout. */
 	async until(condition: () => Promise<boolean> | boolean): Promise<void> {
 		const signal = AbortSignal.timeout(waitTimeoutMs);
--- a/xo.config.js
+++ b/xo.config.js
@@ -58,7 +58,7 @@
 	},
 	{
 		// The runner awaits what `test` returns; a result is read where it is awaited.
-		files: ['packages/*/test/*.ts', 'platform/test/*.ts'],
+		files: ['packages/*/test/**/*.ts', 'platform/test/*.ts'],
 		rules: {
 			'@typescript-eslint/no-floating-promises': [
 				'error',
