Large bodies are sent and received without further copies

What callers saw: a single request inside the limits, of 64 MiB, took a node on a machine of 250 MB over its memory.

Cause: a body was copied at each step on its way. The pieces of a long read were joined, the encoding, the frame and the message to the upstream each held it once more, and the sender's buffer grew by doubling.

Change: a long read fills one buffer of its final size. A message's large body is written as it is, between the encoded fields before and after it; what goes over the wire is unchanged. HTTP messages write head and body separately.

A chunked body is still joined once.

--- a/packages/streams/src/byte-reader.ts
+++ b/packages/streams/src/byte-reader.ts
@@ -143,27 +143,26 @@
 
 	/** Reads this number of bytes. */
 	async readExactly(count: number): Promise<Chunk> {
-		const parts: Buffer[] = [];
-		let missing = count;
-		for (;;) {
-			const wanted = Math.min(missing, minPartBytes);
+		if (this.pending.length >= count) {
+			return this.pending.take(count);
+		}
+
+		// Memory that nothing was written to yet is not taken from the machine.
+		const bytes = Buffer.allocUnsafeSlow(count);
+		let filled = 0;
+		while (filled < count) {
+			const wanted = Math.min(count - filled, minPartBytes);
 			while (this.pending.length < wanted) {
 				if (!(await this.more())) {
 					return undefined;
 				}
 			}
 
-			const part = this.pending.take(Math.min(missing, this.pending.length));
-			if (part.length === count) {
-				return part;
-			}
-
-			parts.push(part);
-			missing -= part.length;
-			if (missing === 0) {
-				return Buffer.concat(parts);
-			}
+			const part = this.pending.take(Math.min(count - filled, this.pending.length));
+			filled += part.copy(bytes, filled);
 		}
+
+		return bytes;
 	}
 
 	/** Waits for further bytes; false when they have ended. */
--- a/packages/streams/src/http-connection.ts
+++ b/packages/streams/src/http-connection.ts
@@ -2,11 +2,11 @@
 import {ByteReader} from './byte-reader.js';
 import {ConnectionError} from './connection-error.js';
 import type {ConnectionOpts} from './connection-opts.js';
-import {formatMessage} from './format-message.js';
 import {headerOf} from './header-of.js';
 import type {HttpResponse} from './http-response.js';
 import type {OutgoingRequest} from './outgoing-request.js';
 import {readResponse} from './read-response.js';
+import {writeMessage} from './write-message.js';
 
 const maxHeadBytes = 64 * 1024;
 
@@ -64,7 +64,7 @@
 			const hostHeader =
 				headerOf(headers, 'host') === undefined ? ['host', this.opts.origin.slice(scheme)] : [];
 			const allHeaders = [...hostHeader, ...headers, ...lengthHeader];
-			socket.write(formatMessage(`${method} ${path} HTTP/1.1`, allHeaders, body));
+			writeMessage(socket, `${method} ${path} HTTP/1.1`, allHeaders, body);
 			const {maxBodyBytes} = this.opts;
 			const {response, keepsAlive} = await readResponse(reader, {
 				method,
--- a/packages/streams/src/send-response.ts
+++ b/packages/streams/src/send-response.ts
@@ -1,8 +1,8 @@
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@medlarsaddle/core';
-import {formatMessage} from './format-message.js';
 import type {HttpResponse} from './http-response.js';
+import {writeMessage} from './write-message.js';
 
 type Opts = {
 	readonly socket: Socket;
@@ -31,8 +31,8 @@
 	const lengthHeader = mayHaveBody(status) ? ['content-length', String(body.length)] : [];
 	const closeHeader = closes ? ['connection', 'close'] : [];
 	const firstLine = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`;
-	const message = formatMessage(firstLine, [...headers, ...lengthHeader, ...closeHeader], body);
-	if (!socket.write(message)) {
+	const allHeaders = [...headers, ...lengthHeader, ...closeHeader];
+	if (!writeMessage(socket, firstLine, allHeaders, body)) {
 		await drained(socket, clock);
 	}
 };
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -48,6 +48,13 @@
 		return frame.subarray(headerBytes);
 	},
 
+	/** Header of a frame whose payload has this number of bytes. */
+	headerOf(payloadBytes: number): Buffer {
+		const header = Buffer.allocUnsafe(headerBytes);
+		header.writeUInt32BE(payloadBytes, 0);
+		return header;
+	},
+
 	write(payload: Uint8Array): Buffer {
 		const frame = Buffer.allocUnsafe(headerBytes + payload.length);
 		frame.writeUInt32BE(payload.length, 0);
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -63,9 +63,19 @@
 			return false;
 		}
 
-		const frame = frames.write(messageCodec.encode(message));
-		this.bytesSent += frame.length;
-		this.socket.write(frame);
+		const pieces = messageCodec.encodePieces(message);
+		if (pieces.length === 1) {
+			this.write(frames.write(pieces[0]!));
+			return true;
+		}
+
+		const payloadBytes = pieces.reduce((sum, {length}) => sum + length, 0);
+		this.socket.cork();
+		for (const piece of [frames.headerOf(payloadBytes), ...pieces]) {
+			this.write(piece);
+		}
+
+		this.socket.uncork();
 		return true;
 	}
 
@@ -99,6 +109,11 @@
 		this.socket.destroy();
 	}
 
+	private write(bytes: Uint8Array): void {
+		this.bytesSent += bytes.length;
+		this.socket.write(bytes);
+	}
+
 	/** Waits for whole frames and returns the payloads of those that have come; none at the end. */
 	private async receivePayloads(): Promise<readonly Buffer[]> {
 		const {reader} = this;
--- a/packages/wire/test/message-codec.test.ts
+++ b/packages/wire/test/message-codec.test.ts
@@ -159,3 +159,33 @@
 		assert.throws(() => messageCodec.decode(Buffer.from(malformed, 'hex')));
 	}
 });
+
+test('a large body is lost or changed where it is sent without a copy', () => {
+	const body = Buffer.alloc(100_000, 'body placeholder');
+	const sample = fc.sample(fc.tuple(request, outcome), {seed: 36, numRuns: 50});
+	for (const [callRequest, callOutcome] of sample) {
+		const result = {kind: 'answer', status: 200, headers: ['a', 'b'], body} as const;
+		const messages: Message[] = [
+			{type: messageTypes.call, id: 7, mode: 'run', request: {...callRequest, body}},
+			{type: messageTypes.outcome, id: 8, outcome: {...callOutcome, result}},
+		];
+		for (const message of messages) {
+			const pieces = messageCodec.encodePieces(message);
+			assert.ok(pieces.includes(body));
+			assert.deepEqual(Buffer.concat(pieces), messageCodec.encode(message));
+		}
+	}
+});
+
+test('a header that looks like the place of a body takes the place of it', () => {
+	const body = Buffer.alloc(100_000, 'x');
+	const [sample] = fc.sample(request, {seed: 36, numRuns: 1});
+	const headers = ['x-filler', 'body placeholder'];
+	const message: Message = {
+		type: messageTypes.call,
+		id: 7,
+		mode: 'run',
+		request: {...sample!, headers, body},
+	};
+	assert.deepEqual(Buffer.concat(messageCodec.encodePieces(message)), messageCodec.encode(message));
+});
