An answer whose status is none of HTTP is not passed on

Here 000 and 099 were refused as malformed already, without a test; 600 to 999 were passed on.

Cause: the status of a response was checked against its lower bound only, and that of an answer from another node not at all; a message without one became an answer without a status.

Change: isFinalStatus, 200 to 599, is asked by the reader of responses, which upstreams, probes and the store share, and by the decoder of answers between nodes. Such a response ends its connection, and the caller is told 502, or the call is tried again, as for any other that is malformed. Every other status is made by the node itself, from fixed tables. Answers that are handed over with a key ledger were read by one of these two before.

Evidence: with the tests on the code before, 4 of the 14 cases of responses fail (600 and 999, at once and behind an interim response), and all 7 of answers between nodes; 000, 099, 101, 20 and 2000 held.

--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -5,6 +5,7 @@
 export type {RequestLimits} from './request-limits.js';
 export {ByteReader} from './byte-reader.js';
 export {MessageError} from './message-error.js';
+export {isFinalStatus} from './is-final-status.js';
 export {messageFaults} from './message-faults.js';
 export {minCountedBytes} from './min-counted-bytes.js';
 export {connectionPhases} from './connection-phases.js';
--- a/packages/streams/src/read-response.ts
+++ b/packages/streams/src/read-response.ts
@@ -2,6 +2,7 @@
 import type {ByteReader} from './byte-reader.js';
 import {framingOf} from './framing-of.js';
 import type {HttpResponse} from './http-response.js';
+import {isFinalStatus} from './is-final-status.js';
 import {MessageError} from './message-error.js';
 import {messageFaults} from './message-faults.js';
 import {minCountedBytes} from './min-counted-bytes.js';
@@ -61,6 +62,10 @@
 			continue;
 		}
 
+		if (!isFinalStatus(status)) {
+			throw malformed('the status is none of HTTP; look at the sender');
+		}
+
 		const headers = parseHeaders(lines);
 		const {length, isChunked, keepsAlive = match[1] === '1'} = framingOf(headers);
 		const hasNoBody = method === 'HEAD' || status === 204 || status === 304;
--- a/packages/streams/test/messages.test.ts
+++ b/packages/streams/test/messages.test.ts
@@ -193,6 +193,16 @@
 	},
 ];
 
+for (const status of ['000', '099', '101', '600', '999', '20', '2000']) {
+	for (const before of ['', 'HTTP/1.1 100 Continue\r\n\r\n']) {
+		const where = before === '' ? 'at once' : 'behind an interim response';
+		test(`a status of ${status} ${where} is passed on as an answer`, async () => {
+			const text = `${before}HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`;
+			assert.deepEqual(await responseFrom(text), {fault: 'malformed'});
+		});
+	}
+}
+
 for (const {name, text, method, expected} of responses) {
 	test(name, async () => {
 		assert.deepEqual(await responseFrom(text, method), expected);
--- a/packages/wire/src/message-layouts.ts
+++ b/packages/wire/src/message-layouts.ts
@@ -1,3 +1,4 @@
+import {isFinalStatus} from '@medlarsaddle/streams';
 import type {Answer} from './answer.js';
 import {asIs} from './as-is.js';
 import type {CallOutcome} from './call-outcome.js';
@@ -25,8 +26,18 @@
 
 const result: Layout<Answer | Refusal> = {
 	write: value => (value.kind === 'answer' ? answer.write(value) : refusal.write(value)),
-	read: values =>
-		(values as readonly unknown[])[0] === 'answer' ? answer.read(values) : refusal.read(values),
+	read(values) {
+		if ((values as readonly unknown[])[0] !== 'answer') {
+			return refusal.read(values);
+		}
+
+		const received = answer.read(values);
+		if (!isFinalStatus(received.status)) {
+			throw new TypeError('An answer lacks a status of HTTP');
+		}
+
+		return received;
+	},
 };
 
 const state = defineLayout<UpstreamState>({waitMs: asIs, limit: asIs, heldMs: asIs});
--- a/packages/wire/test/malformed.test.ts
+++ b/packages/wire/test/malformed.test.ts
@@ -49,3 +49,10 @@
 		{seed: 2, numRuns: 500},
 	);
 });
+
+for (const status of [undefined, 0, 99, 100, 600, 200.5, '200']) {
+	test(`an answer of another node with the status ${String(status)} is passed on`, () => {
+		const outcome = [['answer', status, [], new Uint8Array()], [], null, 0, 0];
+		assert.throws(() => messageCodec.decode(codec.encode(['outcome', 7, outcome])), TypeError);
+	});
+}
