--- a/packages/streams/src/byte-reader.ts
+++ b/packages/streams/src/byte-reader.ts
@@ -5,8 +5,8 @@
 import {messageFaults} from './message-faults.js';
 import {streamEndings} from './stream-endings.js';
 
-/** Received bytes above which the socket is paused until they are read. */
-const maxBufferedBytes = 64 * 1024;
+/** Received bytes above which the socket is paused until they are read, unless somebody waits for them. */
+const maxBufferedBytes = 16 * 1024;
 
 /** Bytes that are waited for before a part of a longer read is taken. */
 const minPartBytes = 64 * 1024;
@@ -202,7 +202,7 @@
 		this.receivedCount += chunk.length;
 		this.share?.add(chunk.length);
 		this.pending.append(chunk);
-		if (this.pending.length > maxBufferedBytes) {
+		if (this.pending.length > maxBufferedBytes && !this.waiting) {
 			this.socket.pause();
 		}
 
