--- a/packages/testbed/src/crowd/crowd-bed.ts
+++ b/packages/testbed/src/crowd/crowd-bed.ts
@@ -1,5 +1,6 @@
 import {readFileSync, readdirSync} from 'node:fs';
 import {setTimeout} from 'node:timers/promises';
+import {configurationOf} from '../harness/configuration-of.js';
 import {RoutedHost} from '../harness/routed-host.js';
 import {programs} from '../deploy/programs.js';
 import {Platform} from '../platform/platform.js';
@@ -20,30 +21,6 @@
 const maxSamples = 400;
 const flags = ['--max-old-space-size=200', '--max-semi-space-size=4'];
 
-const configurationOf = ({maxBodyBytes, timeoutMs = 30_000}: Opts) => ({
-	version: 1,
-	limits: {
-		maxHeaderBytes: 8000,
-		maxBodyBytes,
-		headerTimeoutMs: 3000,
-		idleTimeoutMs: 15_000,
-	},
-	listeners: [
-		{
-			host: 'shop.example',
-			rules: serviceNames.map(name => ({
-				name,
-				routeKind: 'idempotent',
-				targetLatencyMs: 500,
-				priority: 0,
-				match: {pathPrefix: `/${name}/`},
-				action: {service: name, timeoutMs, attempts: 1},
-			})),
-		},
-	],
-	clusters: serviceNames.map(name => ({name, healthPath: '/health', maxConns: 50})),
-});
-
 /**
  * Two hosts with the real daemon, as the platform starts it, and the memory and descriptors that the
  * daemons use. A crowd of callers connects to the first one.
@@ -53,9 +30,16 @@
  */
 export class CrowdBed {
 	/** Starts both hosts and waits until they serve each other's services. */
-	static async start(opts: Opts): Promise<CrowdBed> {
+	static async start({maxBodyBytes, limits, timeoutMs = 30_000}: Opts): Promise<CrowdBed> {
 		const platform = await Platform.start();
-		platform.write('config', 'main', configurationOf(opts));
+		const configuration = configurationOf({
+			services: serviceNames,
+			maxHeaderBytes: 8000,
+			maxBodyBytes,
+			timeoutMs,
+			attempts: 1,
+		});
+		platform.write('config', 'main', configuration);
 		const daemon = {script: programs.daemon, flags};
 		const hosts = await Promise.all(
 			serviceNames.map(async service =>
@@ -65,7 +49,7 @@
 					service,
 					storeUrl: platform.url,
 					daemon,
-					limits: opts.limits,
+					limits,
 				}),
 			),
 		);
--- a/packages/testbed/test/interrupted-calls.test.ts
+++ b/packages/testbed/test/interrupted-calls.test.ts
@@ -1,35 +1,19 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
+import {configurationOf} from '../src/harness/configuration-of.js';
 import {RoutedHost} from '../src/harness/routed-host.js';
 import {Platform} from '../src/platform/platform.js';
 import {RoutedUpstream} from '../src/upstream/routed-upstream.js';
 
 const serviceNames = ['rounds', 'permits'] as const;
 
-/** Each service has a route of its name for requests that may be repeated. */
-const configuration = {
-	version: 1,
-	limits: {
-		maxHeaderBytes: 4000,
-		maxBodyBytes: 100,
-		headerTimeoutMs: 3000,
-		idleTimeoutMs: 15_000,
-	},
-	listeners: [
-		{
-			host: 'shop.example',
-			rules: serviceNames.map(name => ({
-				name,
-				routeKind: 'idempotent',
-				targetLatencyMs: 500,
-				priority: 0,
-				match: {pathPrefix: `/${name}/`},
-				action: {service: name, timeoutMs: 5000, attempts: 2},
-			})),
-		},
-	],
-	clusters: serviceNames.map(name => ({name, healthPath: '/health', maxConns: 50})),
-};
+const configuration = configurationOf({
+	services: serviceNames,
+	maxHeaderBytes: 4000,
+	maxBodyBytes: 100,
+	timeoutMs: 5000,
+	attempts: 2,
+});
 
 /** Holds the next call of a host's upstream. */
 const holdNextCall = (host: RoutedHost) => {
