A connection's own memory is not taken for bytes that have stopped

Found in reading the change, before it was seen: while bodies held more than the budget, each connection counted as a holder that moves nothing, so idle connections of ordinary callers were closed though that freed next to nothing. A connection accepted at the moment at which the budget became short failed, since its reader was asked before it was there. And a request that was given up in its head left its share open.

A connection has two shares now, one for itself that is never given up, and one for what is unread; both are closed with it. The two tests in serve-requests.test.ts fail on the code before and hold.

--- a/packages/control/src/byte-budget.ts
+++ b/packages/control/src/byte-budget.ts
@@ -58,6 +58,11 @@
 		return this.held;
 	}
 
+	/** Number of shares that are open. */
+	get shareCount(): number {
+		return this.shares.size;
+	}
+
 	/** Number of shares that wait for bytes. */
 	get waitingCount(): number {
 		return this.waiting.length;
--- a/packages/streams/src/receive-request.ts
+++ b/packages/streams/src/receive-request.ts
@@ -75,8 +75,13 @@
 			throw tooSlow();
 		}
 
+		if (!req) {
+			held.close();
+			return undefined;
+		}
+
 		held.settle();
-		return req && {req, receivedMs, held};
+		return {req, receivedMs, held};
 	} catch (error) {
 		held.close();
 		if (isTooSlow) {
--- a/packages/streams/src/serve-requests.ts
+++ b/packages/streams/src/serve-requests.ts
@@ -73,14 +73,15 @@
 	async (signal: AbortSignal, ready: () => void): Promise<void> => {
 		ready();
 		socket.setNoDelay(true);
-		const share = budget.open({
+		const own = budget.open();
+		own.add(connectionBytes);
+		const unread = budget.open({
 			movedBytes: () => reader.receivedBytes,
 			evict() {
 				reader.stop();
 			},
 		});
-		share.add(connectionBytes);
-		const reader = ByteReader.over(socket, share);
+		const reader = ByteReader.over(socket, unread);
 		const callerLeft = new AbortController();
 		// Each request in progress listens for it.
 		setMaxListeners(0, callerLeft.signal);
@@ -206,6 +207,8 @@
 
 		socket.once('close', () => {
 			callerLeft.abort(new Error('The caller closed its connection'));
+			own.close();
+			unread.close();
 		});
 		signal.addEventListener('abort', stopWhenIdle, {once: true});
 		try {
@@ -231,7 +234,6 @@
 			}
 
 			await lastAnswer;
-			share.close();
 			closeAfterWrites(socket, clock);
 		}
 	};
--- a/packages/streams/test/serve-requests.test.ts
+++ b/packages/streams/test/serve-requests.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {EventEmitter, once} from 'node:events';
 import {test} from 'node:test';
+import {ByteBudget} from '@medlarsaddle/control';
 import {ManualClock} from '@medlarsaddle/core';
 import {type HttpResponse, messageFaults, serveRequests} from '../src/index.js';
 import {socketPair} from './socket-pair.js';
@@ -26,9 +27,10 @@
 ]);
 
 /** Serves one connection; the test answers each request through `running`. */
-const serve = async () => {
+const serve = async (capacityBytes = Number.POSITIVE_INFINITY) => {
 	const {near, far} = await socketPair();
 	const clock = ManualClock.at(0);
+	const budget = ByteBudget.create({clock, capacityBytes});
 	const running: Running[] = [];
 	const state = {isClosing: false, received: ''};
 	const stop = new AbortController();
@@ -36,6 +38,7 @@
 	const served = serveRequests(
 		{
 			clock,
+			budget,
 			limits: () => limits,
 			handle: async ({req, signal}) =>
 				new Promise<HttpResponse>(resolve => {
@@ -74,7 +77,19 @@
 		}
 	};
 
-	return {clock, ended, far, near, running, served, state, stop, untilReceived, untilRunning};
+	return {
+		budget,
+		clock,
+		ended,
+		far,
+		near,
+		running,
+		served,
+		state,
+		stop,
+		untilReceived,
+		untilRunning,
+	};
 };
 
 const get = (target: string) => `GET ${target} HTTP/1.1\r\nHost: a\r\n\r\n`;
@@ -238,3 +253,28 @@
 	assert.ok(running[1]!.signal.aborted);
 	far.destroy();
 });
+
+test('an idle connection is ended because others hold more than the budget', async () => {
+	const {budget, clock, far, running, untilReceived, untilRunning} = await serve(1000);
+	const other = budget.open();
+	other.add(100_000);
+	await clock.advance(2000);
+	far.write(get('/1'));
+	await untilRunning(1);
+	running[0]!.respond();
+	await untilReceived('/1');
+	other.close();
+	far.destroy();
+});
+
+test('a connection that was given up in a head leaves shares of the budget open', async () => {
+	const {budget, clock, far, near, served} = await serve(1000);
+	far.write('GET / HT');
+	await once(near, 'data');
+	const other = budget.open();
+	other.add(100_000);
+	await clock.advance(2000);
+	await served;
+	assert.equal(budget.shareCount, 1);
+	far.destroy();
+});
