An answer that waits for an earlier one keeps its connection

An answer to a pipelined request that is ready before an earlier one moves no bytes until that one is answered. While bodies held more than the budget it counted as an answer that its caller does not read, and its connection was closed with both requests passed on and unanswered. It can be given up only once it is being sent.

--- a/packages/streams/src/serve-requests.ts
+++ b/packages/streams/src/serve-requests.ts
@@ -115,6 +115,10 @@
 			isLast: boolean,
 		): Promise<void> => {
 			const response = await responding;
+			const waiting = budget.open();
+			waiting.add(response.body.length);
+			await before;
+			waiting.close();
 			const unsent = budget.open({
 				movedBytes: () => socket.bytesWritten - socket.writableLength,
 				evict() {
@@ -123,7 +127,6 @@
 			});
 			unsent.add(response.body.length);
 			try {
-				await before;
 				unanswered--;
 				if (callerLeft.signal.aborted) {
 					return;
--- a/packages/streams/test/serve-requests.test.ts
+++ b/packages/streams/test/serve-requests.test.ts
@@ -278,3 +278,17 @@
 	assert.equal(budget.shareCount, 1);
 	far.destroy();
 });
+
+test('an answer that waits for an earlier one is given up with its connection', async () => {
+	const {budget, clock, far, running, state, untilReceived, untilRunning} = await serve(1000);
+	far.write(get('/1') + get('/2'));
+	await untilRunning(2);
+	running[1]!.respond();
+	const other = budget.open();
+	other.add(100_000);
+	await clock.advance(2000);
+	running[0]!.respond();
+	await untilReceived('/2');
+	assert.deepEqual(targets(state.received), ['/1', '/2']);
+	far.destroy();
+});
