--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -61,6 +61,7 @@
 	storeWatchStarted: define('MS4008', 'info', 'node watches the configuration in the store'),
 	storeWatchStopped: define('MS4009', 'info', 'node leaves the configuration to other readers'),
 	storeWatchFailed: define('MS4010', 'info', 'watch of the configuration was given up'),
+	policySectionAnnounced: define('MS4011', 'info', 'another member holds a newer policy section'),
 	livenessReportRejected: define('MS2006', 'warn', 'liveness report cannot be read'),
 	livenessReportOutdated: define('MS2007', 'info', 'liveness report is older than what is known'),
 	livenessReportUnconfirmed: define(
--- a/packages/node/src/peers/section-fetcher.ts
+++ b/packages/node/src/peers/section-fetcher.ts
@@ -1,8 +1,9 @@
-import type {Clock} from '@medlarsaddle/core';
+import {type Clock, type Log, events} from '@medlarsaddle/core';
 import type {Member} from '@medlarsaddle/members';
 
 type Opts = {
 	readonly clock: Clock;
+	readonly log: Log;
 	/** Data centre of this node. */
 	readonly dataCentre: string;
 	/** Held version of a section; 0 when there is none. */
@@ -49,17 +50,20 @@
 
 	/** Records that a member announced that it holds a version of a section. */
 	noteAnnounced(name: string, version: number, source: Member): void {
-		const {clock, dataCentre, versionOf} = this.opts;
-		if (version <= versionOf(name)) {
+		const {clock, log, dataCentre, versionOf} = this.opts;
+		const held = versionOf(name);
+		if (version <= held) {
 			return;
 		}
 
 		const known = this.pending.get(name);
-		const pending =
-			known && known.version >= version
-				? known
-				: {version, sources: [], startedMs: Number.NEGATIVE_INFINITY};
-		this.pending.set(name, pending);
+		const isNew = !known || known.version < version;
+		const pending = isNew ? {version, sources: [], startedMs: Number.NEGATIVE_INFINITY} : known;
+		if (isNew) {
+			log(events.policySectionAnnounced, {section: name, version, source: source.id, held});
+			this.pending.set(name, pending);
+		}
+
 		if (version < pending.version || pending.sources.length >= maxSources) {
 			return;
 		}
--- a/packages/node/src/root/register-control-plane.ts
+++ b/packages/node/src/root/register-control-plane.ts
@@ -72,6 +72,7 @@
 		cradle;
 	const fetcher = SectionFetcher.create({
 		clock,
+		log,
 		dataCentre: self.dataCentre,
 		versionOf: name => config.policy.versionOf(name),
 		fetchFrom: async member => syncWith(cradle, member),
