--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -30,6 +30,7 @@
 export {ServableShareTable} from './servable-share-table.js';
 export {sharesByRank} from './shares-by-rank.js';
 export {SlotLimit} from './slot-limit.js';
+export {StandIn} from './stand-in.js';
 export {staggeredWait} from './staggered-wait.js';
 export {WeightedRoundRobin} from './weighted-round-robin.js';
 export {ServableShare} from './servable-share.js';
--- a/packages/members/src/datagram-sender.ts
+++ b/packages/members/src/datagram-sender.ts
@@ -48,7 +48,7 @@
 		to: Address,
 		type: Datagram['type'],
 		rumors: readonly Rumor[],
-		extraFields: Partial<Pick<Datagram, 'isStranger' | 'seq' | 'target'>> = {},
+		extraFields: Partial<Pick<Datagram, 'isStranger' | 'reader' | 'seq' | 'target'>> = {},
 	): void {
 		const {membership, send, sectionsDigest} = this.opts;
 		send(to, {
--- a/packages/members/src/datagram-types.ts
+++ b/packages/members/src/datagram-types.ts
@@ -8,4 +8,6 @@
 	rumors: 'news',
 	/** Reports to a collector that a section version is in force at the sender. */
 	sectionInForce: 'held',
+	/** Tells the members of the data centre that the sender reads the platform's store. */
+	readerHeartbeat: 'reader',
 } as const;
--- a/packages/members/src/datagram.ts
+++ b/packages/members/src/datagram.ts
@@ -1,4 +1,5 @@
 import type {datagramTypes} from './datagram-types.js';
+import type {ReaderHeartbeat} from './reader-heartbeat.js';
 import type {Rumor} from './rumor.js';
 
 /**
@@ -24,4 +25,6 @@
 	 * member.
 	 */
 	readonly isStranger?: boolean;
+	/** Set in a heartbeat of a reader of the platform's store. */
+	readonly reader?: ReaderHeartbeat;
 };
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -16,6 +16,7 @@
 import {DatagramSender} from './datagram-sender.js';
 import {PingResponder} from './ping-responder.js';
 import {Prober} from './prober.js';
+import {ReaderHeartbeats} from './reader-heartbeats.js';
 import {Roles} from './roles.js';
 import type {Rumor} from './rumor.js';
 import type {StoreRole} from './store-role.js';
@@ -69,6 +70,8 @@
 
 	/** Tracks which members of the group have which section version in force. */
 	readonly rollout: RolloutTracker;
+	/** Heartbeats of the members that read the platform's store. */
+	readonly readerHeartbeats: ReaderHeartbeats;
 	private readonly membership: Membership;
 	private readonly roles: Roles;
 	private readonly datagramSender: DatagramSender;
@@ -93,6 +96,7 @@
 			roles,
 			datagramSender,
 		});
+		this.readerHeartbeats = ReaderHeartbeats.create({membership, roles, datagramSender});
 		this.pingResponder = PingResponder.create({
 			random: opts.random,
 			membership,
@@ -228,6 +232,11 @@
 				break;
 			}
 
+			case datagramTypes.readerHeartbeat: {
+				this.readerHeartbeats.receive(datagram, sender);
+				break;
+			}
+
 			case datagramTypes.rumors: {
 				break;
 			}
--- a/packages/members/src/index.ts
+++ b/packages/members/src/index.ts
@@ -2,6 +2,7 @@
 export type {Datagram} from './datagram.js';
 export type {Member} from './member.js';
 export type {OfferedService} from './offered-service.js';
+export type {ReaderHeartbeat} from './reader-heartbeat.js';
 export type {Rumor} from './rumor.js';
 export type {StoreRole} from './store-role.js';
 export {Gossip} from './gossip.js';
--- a/packages/node/src/root/core-of.ts
+++ b/packages/node/src/root/core-of.ts
@@ -1,4 +1,5 @@
 import {events} from '@medlarsaddle/core';
+import {rumorKinds} from '@medlarsaddle/members';
 import {nextTurn} from '../config/next-turn.js';
 import type {Cradle} from './cradle.js';
 import type {NodeCore} from './node-core.js';
@@ -42,6 +43,17 @@
 		hasRole: (role, count) => gossip.hasRole(role, count),
 		hasStoreRole: role => gossip.hasStoreRole(role),
 		nextStoreTurn: (role, times) => nextTurn({gossip, role, ...times}),
+		sendReaderHeartbeat(role, heartbeat) {
+			const rumors = Object.entries(config.versions).map(([name, version]) => ({
+				kind: rumorKinds.section,
+				name,
+				version,
+			}));
+			gossip.readerHeartbeats.send(role, heartbeat, rumors);
+		},
+		onReaderHeartbeat(listener, signal) {
+			gossip.readerHeartbeats.onHeartbeat(listener, signal);
+		},
 		announceStoreLost(isLost) {
 			if ((gossip.self.hasLostStore ?? false) !== isLost) {
 				gossip.updateSelf({hasLostStore: isLost});
--- a/packages/node/src/root/node-core.ts
+++ b/packages/node/src/root/node-core.ts
@@ -1,5 +1,5 @@
 import type {Clock, Fault, Log, Random} from '@medlarsaddle/core';
-import type {Address, Member, StoreRole} from '@medlarsaddle/members';
+import type {Address, Member, ReaderHeartbeat, StoreRole} from '@medlarsaddle/members';
 import type {RouteTable, Section} from '@medlarsaddle/policy';
 import type {CallOutcome} from '@medlarsaddle/wire';
 import type {Result} from 'neverthrow';
@@ -60,6 +60,13 @@
 		role: StoreRole,
 		times: {readonly elapsedMs: number; readonly spacingMs: number},
 	) => number;
+	/** Sends a heartbeat of a reader of the platform's store, with the versions that are in force. */
+	readonly sendReaderHeartbeat: (role: StoreRole, heartbeat: ReaderHeartbeat) => void;
+	/** Calls the listener with each heartbeat of another reader, until the signal aborts. */
+	readonly onReaderHeartbeat: (
+		listener: (heartbeat: ReaderHeartbeat, from: Member) => void,
+		signal: AbortSignal,
+	) => void;
 	/** Tells the other members whether the platform's store answers this node. */
 	readonly announceStoreLost: (isLost: boolean) => void;
 	/** Whether callers should send requests to this node. */
--- a/packages/testbed/src/harness/store-fleet.ts
+++ b/packages/testbed/src/harness/store-fleet.ts
@@ -1,5 +1,5 @@
 import {Fault, type ManualClock, createRandom, faultKinds, hash32} from '@medlarsaddle/core';
-import type {StoreRole} from '@medlarsaddle/members';
+import {type ReaderHeartbeat, type StoreRole, rumorKinds} from '@medlarsaddle/members';
 import {type NodeCore, nextTurn} from '@medlarsaddle/node';
 import {
 	type StoreClient,
@@ -138,6 +138,15 @@
 			versionOf: (name: string) => versions.get(name) ?? 0,
 			nextStoreTurn: (role: StoreRole, times: TurnTimes) => nextTurn({gossip, role, ...times}),
 			hasStoreRole: (role: StoreRole) => gossip.hasStoreRole(role),
+			sendReaderHeartbeat(role: StoreRole, heartbeat: ReaderHeartbeat) {
+				const rumors = [...versions].map(([name, version]) => ({
+					kind: rumorKinds.section,
+					name,
+					version,
+				}));
+				gossip.readerHeartbeats.send(role, heartbeat, rumors);
+			},
+			onReaderHeartbeat: gossip.readerHeartbeats.onHeartbeat.bind(gossip.readerHeartbeats),
 			announceStoreLost(hasLostStore: boolean) {
 				gossip.updateSelf({hasLostStore});
 			},
