--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -22,6 +22,7 @@
 	logLinesDropped: define('MS1105', 'warn', 'log lines were dropped'),
 	unexpectedError: define('MS1104', 'error', 'unexpected error outside of any task'),
 	bodyGivenUp: define('MS1009', 'warn', 'body was given up because its room is wanted'),
+	callerDisconnected: define('MS1010', 'warn', 'connection of a caller was closed for another'),
 	upstreamAnnounced: define('MS2001', 'info', 'upstream announced itself'),
 	upstreamWithdrawn: define('MS2002', 'info', 'upstream withdrew its announcement'),
 	upstreamUnhealthy: define('MS2003', 'warn', 'upstream stopped answering probes'),
--- a/packages/daemon/src/node-flags.ts
+++ b/packages/daemon/src/node-flags.ts
@@ -17,7 +17,7 @@
  */
 export const nodeFlags = (platform: PlatformSettings): string[] => {
 	const {nodeId, dataCentre, region, host, peerPort, seeds, stopMs, service} = platform;
-	const {memoryMb} = platform;
+	const {memoryMb, maxDescriptors} = platform;
 	const flags = {
 		'node-id': nodeId,
 		'data-centre': dataCentre,
@@ -30,6 +30,7 @@
 		'retry-burst': platform.retryBurst * retryBudgetShare,
 		'notice-ms': noticeMs,
 		...(memoryMb === undefined ? {} : {'memory-mb': memoryMb}),
+		...(maxDescriptors === undefined ? {} : {'max-descriptors': maxDescriptors}),
 		'stop-seconds': Math.max(0, stopMs - noticeMs - stopReserveMs) / 1000,
 	};
 	return Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]);
--- a/packages/node/src/root/listen.ts
+++ b/packages/node/src/root/listen.ts
@@ -9,6 +9,9 @@
 	readonly operator: number;
 };
 
+/** Connections of those that read the metrics or the health. */
+const maxScrapers = 64;
+
 /**
  * Listens for callers, health checks and metrics, and with `isWhole` also for the upstream and for
  * operators.
@@ -22,6 +25,7 @@
 	await callerApp.listen({host, port: settings.httpPort});
 	const {port: http} = callerApp.server.address() as AddressInfo;
 	if (!isWhole) {
+		callerApp.server.maxConnections = maxScrapers;
 		return {http, upstream: 0, operator: 0};
 	}
 
--- a/packages/node/src/settings/settings-schema.ts
+++ b/packages/node/src/settings/settings-schema.ts
@@ -59,6 +59,14 @@
 		.describe(
 			'Memory that the process may use, in MB; bodies wait or are refused before it is full',
 		),
+	maxDescriptors: z.coerce
+		.number()
+		.int()
+		.min(300)
+		.default(4096)
+		.describe(
+			'Descriptors that the process may have open; idle connections of callers are closed before they are used up',
+		),
 	stopSeconds: z.coerce
 		.number()
 		.min(0)
--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -7,6 +7,8 @@
 export {MessageError} from './message-error.js';
 export {messageFaults} from './message-faults.js';
 export {minCountedBytes} from './min-counted-bytes.js';
+export {connectionPhases} from './connection-phases.js';
+export {ConnectionTable} from './connection-table.js';
 export {ConnectionError} from './connection-error.js';
 export {HttpClient} from './http-client.js';
 export {HttpConnection} from './http-connection.js';
--- a/packages/streams/src/receive-request.ts
+++ b/packages/streams/src/receive-request.ts
@@ -12,6 +12,8 @@
 	readonly limits: RequestLimits;
 	/** What the bodies of all requests may hold together. */
 	readonly budget: ByteBudget;
+	/** Called when the head is complete. */
+	readonly onHead: () => void;
 	/** Called when the sender waits for permission to send its body. */
 	readonly onExpectsContinue: () => void;
 };
@@ -33,11 +35,11 @@
  * headers, when they have been read.
  *
  * @example
- * const received = await receiveRequest(reader, {clock, limits, budget, onExpectsContinue() {}});
+ * const received = await receiveRequest(reader, {clock, limits, budget, onHead() {}, onExpectsContinue() {}});
  */
 export const receiveRequest = async (
 	reader: ByteReader,
-	{clock, limits, budget, onExpectsContinue}: Opts,
+	{clock, limits, budget, onHead, onExpectsContinue}: Opts,
 ): Promise<Received | undefined> => {
 	let isTooSlow = false;
 	const giveUp = () => {
@@ -63,6 +65,7 @@
 				receivedMs = clock.monotonic();
 				cancelTimer();
 				cancelTimer = clock.after(limits.bodyMs, giveUp);
+				onHead();
 				if (expectsContinue) {
 					onExpectsContinue();
 				}
--- a/packages/streams/src/serve-requests.ts
+++ b/packages/streams/src/serve-requests.ts
@@ -4,6 +4,7 @@
 import type {Clock} from '@medlarsaddle/core';
 import {ByteReader} from './byte-reader.js';
 import {closeAfterWrites} from './close-after-writes.js';
+import {connectionPhases} from './connection-phases.js';
 import type {HttpRequest} from './http-request.js';
 import type {HttpResponse} from './http-response.js';
 import {MessageError} from './message-error.js';
@@ -34,6 +35,8 @@
 	readonly reject: (error: MessageError) => HttpResponse;
 	/** Whether a connection without unanswered requests is to be closed. */
 	readonly isClosing: () => boolean;
+	/** Called with what the connection does from now on. */
+	readonly onPhase?: (phase: (typeof connectionPhases)[keyof typeof connectionPhases]) => void;
 };
 
 /** What a connection holds beside the bytes that are counted. */
@@ -55,7 +58,16 @@
  */
 export const serveRequests =
 	(
-		{clock, limits, budget = ByteBudget.unlimited(clock), handle, refuse, reject, isClosing}: Opts,
+		{
+			clock,
+			limits,
+			budget = ByteBudget.unlimited(clock),
+			handle,
+			refuse,
+			reject,
+			isClosing,
+			onPhase,
+		}: Opts,
 		socket: Socket,
 	) =>
 	async (signal: AbortSignal, ready: () => void): Promise<void> => {
@@ -87,6 +99,7 @@
 		const watchIdleness = () => {
 			cancelIdleTimer();
 			if (unanswered === 0 && isBetweenRequests) {
+				onPhase?.(connectionPhases.idle);
 				cancelIdleTimer = clock.after(limits().idleMs, stopWhenIdle);
 				if (signal.aborted) {
 					stopWhenIdle();
@@ -153,10 +166,19 @@
 
 			isBetweenRequests = false;
 			cancelIdleTimer();
+			if (unanswered === 0) {
+				onPhase?.(connectionPhases.head);
+			}
+
 			const received = await receiveRequest(reader, {
 				clock,
 				limits: limits(),
 				budget,
+				onHead() {
+					if (unanswered === 0) {
+						onPhase?.(connectionPhases.body);
+					}
+				},
 				onExpectsContinue() {
 					if (unanswered === 0) {
 						socket.write(continueLine);
@@ -168,6 +190,7 @@
 			}
 
 			unanswered++;
+			onPhase?.(connectionPhases.serving);
 			const {held, ...request} = received;
 			const isLast = !request.req.keepsAlive;
 			const isRefused = running >= maxRunning;
--- a/packages/testbed/src/crowd/crowd-bed.ts
+++ b/packages/testbed/src/crowd/crowd-bed.ts
@@ -111,7 +111,11 @@
 	/** Whether an ordinary request is answered by its upstream. */
 	async isServed(target: string): Promise<boolean> {
 		this.requestCount++;
-		const reply = await this.near.send(target, {'attempt-id': `ordinary-${this.requestCount}`});
+		const reply = await this.near.send(target, {
+			'attempt-id': `ordinary-${this.requestCount}`,
+			// Kept connections may be closed while they are idle.
+			connection: 'close',
+		});
 		return reply.status === 200;
 	}
 
