--- a/review/6/case.js
+++ b/review/6/case.js
@@ -10,14 +10,14 @@
 /** Statuses which promise that the request has not run and never will. */
 const promises = new Set([408, 421, 429, 503]);
 /** Both disruptions last for `troubleMs` at a time, with a pause after it. */
-const spells = 5;
-const troubleMs = 5500;
+const spells = 6;
+const troubleMs = 5000;
 const pauseMs = 3500;
 const payNames = ['pay-1', 'pay-2', 'pay-3', 'pay-4', 'pay-5'];
 const faultyCount = 3;
 
 /** Requests of one round. The clients of reports leave, which are less than a third of all. */
-const reportWaves = [90, 40];
+const reportWaves = [90, 32];
 const lists = 220;
 const payments = 75;
 const leaveMs = 300;
@@ -28,7 +28,14 @@
 	const bed = await startBed({
 		configuration: configurationOf(1, [
 			{name: 'list', service: 'pay', isIdempotent: true, timeoutMs: 5000, attempts: 1},
-			{name: 'report', service: 'pay', isIdempotent: true, timeoutMs: 5000, attempts: 1},
+			{
+				name: 'report',
+				service: 'pay',
+				isIdempotent: true,
+				timeoutMs: 5000,
+				targetMs: 2 * leaveMs,
+				attempts: 1,
+			},
 			{name: 'pay', service: 'pay', isIdempotent: false, timeoutMs: 1200},
 			{name: 'web', service: 'web', isIdempotent: true, timeoutMs: 5000},
 		]),
--- a/review/lib-2/configuration-of.js
+++ b/review/lib-2/configuration-of.js
@@ -15,14 +15,16 @@
 	listeners: [
 		{
 			host: 'shop.example',
-			rules: routes.map(({name, service, isIdempotent, timeoutMs, attempts = 2, priority = 1}) => ({
-				name: `r-${name}`,
-				routeKind: isIdempotent ? 'idempotent' : 'non_idempotent',
-				targetLatencyMs: Math.min(3000, timeoutMs),
-				priority,
-				match: {pathPrefix: `/${name}/`},
-				action: {service, timeoutMs, attempts},
-			})),
+			rules: routes.map(
+				({name, service, isIdempotent, timeoutMs, targetMs, attempts = 2, priority = 1}) => ({
+					name: `r-${name}`,
+					routeKind: isIdempotent ? 'idempotent' : 'non_idempotent',
+					targetLatencyMs: targetMs ?? Math.min(3000, timeoutMs),
+					priority,
+					match: {pathPrefix: `/${name}/`},
+					action: {service, timeoutMs, attempts},
+				}),
+			),
 		},
 	],
 	clusters: [...new Set(routes.map(({service}) => service))].map(name => ({
