review: case 10, endless chunk extensions keep a node from answering

Cause: extensions of chunks count toward no limit of a body, and the decoder lets other work have its turn only when one read has over 1,000 parts of the encoding. Done: a script in which one of 34 answers of one endpoint has a body without end, for 5 s.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.js
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prepares the stand-ins of the cases 6 to 9. They are plain JavaScript without dependencies.
+# Prepares the stand-ins of the cases 6 to 10. They are plain JavaScript without dependencies.
 set -euo pipefail
 cd "$(dirname "$0")"
 for file in lib-2/*.js; do
--- a/review/lib-2/start-endpoint.js
+++ b/review/lib-2/start-endpoint.js
@@ -9,7 +9,8 @@
 /**
  * Starts an endpoint as the pages describe it: it runs `slots` requests at a time, queues a few more,
  * rejects others with `Not-Executed`, answers health requests, and reports itself to the node on its
- * machine. `work` runs a request and resolves with the body of its answer.
+ * machine. `work` runs a request and resolves with the body of its answer; for an answer of another
+ * form with a function that sends it, given the connection and the headers, and resolves at its end.
  *
  * @example
  * const endpoint = await startEndpoint({ip, port, id: 'i-1', service: 'pay', zone, slots: 4, control, note, work});
@@ -122,7 +123,9 @@
 			run.endMs = performance.now();
 			note('ran', {endpoint: id, request: attempt, cut: socket.destroyed});
 			const sealed = [...echo, `Server-Seal: seal.${id}.${attempt}`];
-			if (!socket.destroyed) {
+			if (typeof answer === 'function') {
+				await answer(socket, sealed);
+			} else if (!socket.destroyed) {
 				send(socket, {status: 200, headers: sealed, body: Buffer.from(answer)});
 			}
 		} finally {
