--- a/review/10/case.js
+++ b/review/10/case.mjs
@@ -1,10 +1,10 @@
 import {fork} from 'node:child_process';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {configurationOf} from '../lib-2/configuration-of.js';
-import {runCase} from '../lib-2/run-case.js';
-import {sendRequest} from '../lib-2/send-request.js';
-import {startBed} from '../lib-2/start-bed.js';
+import {configurationOf} from '../lib-2/configuration-of.mjs';
+import {runCase} from '../lib-2/run-case.mjs';
+import {sendRequest} from '../lib-2/send-request.mjs';
+import {startBed} from '../lib-2/start-bed.mjs';
 
 const timeoutMs = 1500;
 /** The rule's slack after the time of the route. */
@@ -36,7 +36,7 @@
 	const endpoints = await Promise.all(
 		machines.map(async ({name, ip, ports, service, zone, control}) => {
 			const settings = {ip, port: ports.app, id: `i-${name}`, service, zone, slots: 72, control};
-			const child = fork(path.join(import.meta.dirname, 'endpoint.js'), [
+			const child = fork(path.join(import.meta.dirname, 'endpoint.mjs'), [
 				JSON.stringify({...settings, spoiledEvery}),
 			]);
 			addCleanup(() => {
--- a/review/10/endpoint.js
+++ b/review/10/endpoint.mjs
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import process from 'node:process';
-import {startEndpoint} from '../lib-2/start-endpoint.js';
+import {startEndpoint} from '../lib-2/start-endpoint.mjs';
 
 const workMs = 160;
 
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec node case.js
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/8/case.js
+++ b/review/8/case.mjs
@@ -1,10 +1,10 @@
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {configurationOf} from '../lib-2/configuration-of.js';
-import {runCase} from '../lib-2/run-case.js';
-import {sendRequest} from '../lib-2/send-request.js';
-import {startBed} from '../lib-2/start-bed.js';
-import {startEndpoint} from '../lib-2/start-endpoint.js';
+import {configurationOf} from '../lib-2/configuration-of.mjs';
+import {runCase} from '../lib-2/run-case.mjs';
+import {sendRequest} from '../lib-2/send-request.mjs';
+import {startBed} from '../lib-2/start-bed.mjs';
+import {startEndpoint} from '../lib-2/start-endpoint.mjs';
 
 const drainMs = 2000;
 const beforeMs = 5000;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,6 +2,6 @@
 # Prepares the stand-ins of the cases 6 to 10. They are plain JavaScript without dependencies.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib-2/*.js; do
+for file in lib-2/*.mjs; do
 	node --check "$file"
 done
--- a/review/lib-2/run-case.js
+++ b/review/lib-2/run-case.mjs
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {createRecord} from './create-record.js';
+import {createRecord} from './create-record.mjs';
 
 /** Time after which a case counts as one that could not run. */
 const maxRunMs = 110_000;
--- a/review/lib-2/send-request.js
+++ b/review/lib-2/send-request.mjs
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import {HttpReader} from './http-reader.js';
+import {HttpReader} from './http-reader.mjs';
 
 /**
  * Sends one request on a connection of its own, as a client or an endpoint does, and resolves with
--- a/review/lib-2/start-bed.js
+++ b/review/lib-2/start-bed.mjs
@@ -2,8 +2,8 @@
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import http from 'node:http';
-import {startNode} from './start-node.js';
-import {startStore} from './start-store.js';
+import {startNode} from './start-node.mjs';
+import {startStore} from './start-store.mjs';
 
 const partNames = ['inbound', 'outbound', 'ready', 'control', 'app', 'peer'];
 const readyTimeoutMs = 20_000;
--- a/review/lib-2/start-endpoint.js
+++ b/review/lib-2/start-endpoint.mjs
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import http from 'node:http';
 import {createServer} from 'node:net';
-import {HttpReader} from './http-reader.js';
+import {HttpReader} from './http-reader.mjs';
 
 /** Interval of liveness reports, `heartbeatMs` of the settings. */
 const reportMs = 1500;
