Log: whether a request was taken for a call between upstreams

Cause: not shown by the log until now. MS6001 did not tell whether the node took a request for a call of an upstream, which a draining node still forwards, or forwarded it for another reason.

--- a/packages/node/src/calls/forwarder.ts
+++ b/packages/node/src/calls/forwarder.ts
@@ -93,6 +93,7 @@
 			fault: result.kind === 'refusal' ? result.fault : undefined,
 			run: result.kind === 'refusal' ? result.run : undefined,
 			by: result.kind === 'refusal' ? result.by : undefined,
+			isCall: route ? this.opts.loadTracker.isCall(jobOf(route)) : undefined,
 			budgetMs: incoming.remainingMs === undefined ? undefined : Math.round(incoming.remainingMs),
 			tookMs: Math.round(elapsedMs),
 		});
@@ -118,8 +119,7 @@
 			return refusalOf(callFaults.noTimeLeft, runStates.notRun, 0);
 		}
 
-		// The name of a route may change with the configuration; its host and path prefix do not.
-		const job = `${route.host}${route.pathPrefix}`;
+		const job = jobOf(route);
 		const {loadTracker, origin} = this.opts;
 		const isCall = loadTracker.isCall(job);
 		if (isCall) {
@@ -172,6 +172,9 @@
 	}
 }
 
+/** The name of a route may change with the configuration; its host and path prefix do not. */
+const jobOf = ({host, pathPrefix}: Route): string => `${host}${pathPrefix}`;
+
 /** Cuts a text of the caller to the length that a log line may take of it. */
 const cut = (text: string): string => text.slice(0, maxLoggedChars);
 
