A stopping node reads no request behind one that has no answer yet

What callers could see: on a connection with several requests under way, the answer to a request that had run could not be sent, because one before it was still at work when the process ended. Cause: a request was taken by the time that it needs itself. Its answer also waits for those before it. Ruled out: a refusal, which would wait behind the same answer. Change: while the node stops, the next request of a connection is read after the answers before it; the last of them closes the connection, so that the request is unread and may be sent again. Requests that were read before the stop began can still be in this place; nothing can be done for them then.

--- a/packages/streams/src/serve-requests.ts
+++ b/packages/streams/src/serve-requests.ts
@@ -168,6 +168,11 @@
 				return false;
 			}
 
+			if (isClosing()) {
+				// Its answer would wait for those before it, and the process may end meanwhile.
+				await lastAnswer;
+			}
+
 			isBetweenRequests = false;
 			cancelIdleTimer();
 			if (unanswered === 0) {
--- a/packages/streams/test/serve-requests.test.ts
+++ b/packages/streams/test/serve-requests.test.ts
@@ -127,6 +127,31 @@
 	far.destroy();
 });
 
+// Its answer could go out only after the one before it, for which the process may not have the time.
+test('a stopping node passes on a request whose answer has to wait for an earlier one', async () => {
+	const {ended, far, near, running, served, state, untilRunning} = await serve();
+	far.write(get('/1') + get('/2'));
+	await untilRunning(2);
+	state.isClosing = true;
+	running[1]!.respond();
+	far.write(get('/3'));
+	while (near.bytesRead < 3 * get('/3').length) {
+		await new Promise(setImmediate);
+	}
+
+	await new Promise(setImmediate);
+	const passedOn = running.map(({target}) => target);
+	for (const {respond} of running) {
+		respond();
+	}
+
+	await served;
+	await ended;
+	assert.deepEqual(passedOn, ['/1', '/2']);
+	assert.deepEqual(targets(state.received), ['/1', '/2']);
+	far.destroy();
+});
+
 test('a request behind an answer that closes the connection is not passed on', async () => {
 	const {far, running, served, untilRunning} = await serve();
 	far.write(`GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n${get('/2')}`);
