The framing of a message has an end: chunk extensions, zeros, empty lines

Cause: the limit of a body counts its content. What framing adds to it had no limit, so that a body of a few bytes may have any length on the wire, and each such answer is read as fast as it comes until the time of its request is up. Ruled out: the time of each read, which is linear; a lower maxStepsPerTurn, which leaves the bytes. Change: the lines of chunk lengths may have 16 KiB beside their digits, and one more byte for each of the body (RFC 9112, section 7.1.1); empty lines between requests 64 KiB. More is malformed: an endpoint is passed over where the call may be repeated, a caller gets 400. Extensions in proportion to the body are still read, with a test. Conclusion: endless framing ends after 16 KiB. That many bodies which do have an end share a turn of the event loop is a fault of its own.

--- a/packages/streams/src/byte-reader.ts
+++ b/packages/streams/src/byte-reader.ts
@@ -11,6 +11,9 @@
 /** Bytes that are waited for before a part of a longer read is taken. */
 const minPartBytes = 64 * 1024;
 
+/** Bytes of line ends between two messages above which their sender is taken for faulty. */
+const maxEmptyBytes = 64 * 1024;
+
 const carriageReturn = 13;
 const lineFeed = 10;
 
@@ -83,8 +86,13 @@
 		this.take(count);
 	}
 
-	/** Skips line ends and waits for the byte after them; false when the connection ends first. */
+	/**
+	 * Skips line ends and waits for the byte after them; false when the connection ends first.
+	 *
+	 * @throws MessageError of kind `malformed` when nothing else comes.
+	 */
 	async skipEmptyLines(): Promise<boolean> {
+		let skipped = 0;
 		for (;;) {
 			const {unread} = this;
 			let end = 0;
@@ -93,6 +101,14 @@
 			}
 
 			this.skip(end);
+			skipped += end;
+			if (skipped > maxEmptyBytes) {
+				throw new MessageError(
+					messageFaults.malformed,
+					'there is no end of empty lines; send none',
+				);
+			}
+
 			const isCut = unread.length === end + 1 && unread[end] === carriageReturn;
 			if (unread.length > end && !isCut) {
 				return true;
--- a/packages/streams/src/chunked-decoder.ts
+++ b/packages/streams/src/chunked-decoder.ts
@@ -4,6 +4,12 @@
 
 const maxLineBytes = 1024;
 const maxTrailerBytes = 64 * 1024;
+
+/**
+ * Bytes that the lines of chunk lengths may have beside their digits, beyond those of the body itself.
+ * RFC 9112, section 7.1.1: a recipient ought to limit the total length of chunk extensions.
+ */
+const maxExtensionBytes = 16 * 1024;
 const lineEnd = '\r\n';
 const lengthLine = /^0*([0-9a-f]{1,8})[ \t]*(?:;[\t -~]*)?$/iv;
 
@@ -34,6 +40,7 @@
 	/** Bytes of the current chunk that have not come yet. */
 	private missing = 0;
 	private trailerBytes = 0;
+	private extensionBytes = 0;
 	/** Bytes of an incomplete line in which there is no line end. */
 	private searched = 0;
 	private wasStopped = false;
@@ -64,7 +71,8 @@
 	 * Decodes the next bytes, at most `maxSteps` of their parts, and returns how many bytes it has used.
 	 * The others are to be given again; with more after them, unless `hasStopped`.
 	 *
-	 * @throws MessageError when the encoding is malformed or the body is too large.
+	 * @throws MessageError when the encoding is malformed, the body is too large, or its chunk extensions
+	 * are out of proportion to it.
 	 */
 	decode(bytes: Buffer, maxSteps: number): number {
 		let used = 0;
@@ -118,6 +126,11 @@
 			throw malformed('the length of a chunk is malformed; correct it');
 		}
 
+		this.extensionBytes += line.length - match[1]!.length;
+		if (this.extensionBytes > maxExtensionBytes + this.parts.length) {
+			throw malformed('the chunk extensions are too long; send fewer');
+		}
+
 		this.missing = Number.parseInt(match[1]!, 16);
 		if (this.parts.length + this.missing > this.maxBytes) {
 			throw new MessageError(messageFaults.tooLarge, 'the body is too large; send a smaller one');
--- a/packages/streams/test/linear-work.test.ts
+++ b/packages/streams/test/linear-work.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {setImmediate} from 'node:timers/promises';
 import {test} from 'node:test';
-import {ByteReader, readRequest, readResponse} from '../src/index.js';
+import {ByteReader, MessageError, messageFaults, readRequest, readResponse} from '../src/index.js';
 import {countCopiedBytes} from './count-copied-bytes.js';
 import {silentSocket} from './silent-socket.js';
 
@@ -90,3 +90,62 @@
 	assert.equal(response.body.length, 240_000);
 	assert.ok(turns >= 60_000 / maxChunksPerTurn, `read in ${turns} turns`);
 });
+
+const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+const endlessMessages: ReadonlyArray<{
+	readonly name: string;
+	readonly first: string;
+	/** Comes again and again. */
+	readonly unit: string;
+	readonly read: (reader: ByteReader) => Promise<unknown>;
+}> = [
+	{
+		name: 'an answer in chunks with extensions',
+		first: chunkedHead,
+		unit: `1;${'x'.repeat(190)}\r\na\r\n`,
+		read: async reader => readResponse(reader, {...limits, method: 'GET'}),
+	},
+	{
+		name: 'an answer in chunks whose lengths begin with zeros',
+		first: chunkedHead,
+		unit: `${'0'.repeat(190)}1\r\na\r\n`,
+		read: async reader => readResponse(reader, {...limits, method: 'GET'}),
+	},
+	{
+		name: 'a request in chunks with extensions',
+		first: 'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n',
+		unit: '1;a=b;c=d\r\na\r\n',
+		read: async reader => readRequest(reader, limits),
+	},
+	{
+		name: 'empty lines in place of a request',
+		first: '',
+		unit: '\r\n',
+		read: async reader => reader.skipEmptyLines(),
+	},
+];
+
+// Each stays within the limit of a body, and takes the time of the process until its sender ends it.
+for (const {name, first, unit, read} of endlessMessages) {
+	test(`${name} is read without end`, async () => {
+		const socket = silentSocket();
+		let failure: unknown;
+		void read(ByteReader.over(socket)).catch((error: unknown) => {
+			failure = error;
+		});
+		await deliver(socket, first, 1024);
+		await deliver(socket, unit.repeat(Math.ceil((128 * 1024) / unit.length)), 1024);
+		assert.ok(failure instanceof MessageError, 'nothing is wrong yet');
+		assert.equal(failure.kind, messageFaults.malformed);
+	});
+}
+
+test('chunks with extensions in proportion to the body are refused', async () => {
+	const socket = silentSocket();
+	const reading = readResponse(ByteReader.over(socket), {...limits, method: 'GET'});
+	const chunk = `1000;signature=${'f'.repeat(64)}\r\n${'b'.repeat(0x10_00)}\r\n`;
+	await deliver(socket, `${chunkedHead}${chunk.repeat(200)}0\r\n\r\n`, 16 * 1024);
+	const {response} = await reading;
+	assert.equal(response.body.length, 200 * 0x10_00);
+});
