Work on received bytes is bounded for each turn of the event loop, over all connections

What callers could see: answers late by seconds while several peers of a node send large or finely divided messages at once. Cause: each connection left the turn to others after 1000 parts of a chunked body or one read, whatever the number of connections; the event loop reads a socket up to 32 times before it goes on, and a peer on loopback fills each read again before the last one is decoded. Ruled out: a lower bound for each connection, which still adds up. Change: TurnBudget, shared by all readers of the process: a received byte takes one unit, a part of a chunked body 100 more. Bytes that wait come before the end of their connection. Conclusion: the turn is bounded by what is decoded in it. What a message makes the node do after it was read is bounded by admission, not by this.

--- a/packages/streams/src/byte-reader.ts
+++ b/packages/streams/src/byte-reader.ts
@@ -4,6 +4,7 @@
 import {MessageError} from './message-error.js';
 import {messageFaults} from './message-faults.js';
 import {streamEndings} from './stream-endings.js';
+import {TurnBudget} from './turn-budget.js';
 
 /** Received bytes above which the socket is paused until they are read, unless somebody waits for them. */
 const maxBufferedBytes = 16 * 1024;
@@ -14,6 +15,9 @@
 /** Bytes of line ends between two messages above which their sender is taken for faulty. */
 const maxEmptyBytes = 64 * 1024;
 
+/** All connections of the process are served by one event loop. */
+const processTurns = TurnBudget.create();
+
 const carriageReturn = 13;
 const lineFeed = 10;
 
@@ -31,20 +35,24 @@
 export class ByteReader {
 	/**
 	 * Creates a reader of a connected or connecting socket, whose data nobody else may read. Unread bytes
-	 * are counted to the share, if one is given.
+	 * are counted to the share, if one is given. Received bytes are given out as the budget of the turn
+	 * allows, which all connections of the process share by default.
 	 */
-	static over(socket: Socket, share?: ByteShare): ByteReader {
-		return new ByteReader(socket, share);
+	static over(socket: Socket, share?: ByteShare, turns = processTurns): ByteReader {
+		return new ByteReader(socket, share, turns);
 	}
 
 	private readonly pending = ByteQueue.create();
-	private waiting: ((chunk: Chunk) => void) | undefined;
+	private waiting: ((hasBytes: boolean) => void) | undefined;
+	/** Whether bytes that somebody waits for are held back until a later turn. */
+	private isHeldBack = false;
 	private endedBy: Ending | undefined;
 	private receivedCount = 0;
 
 	private constructor(
 		private readonly socket: Socket,
 		private readonly share: ByteShare | undefined,
+		private readonly turns: TurnBudget,
 	) {
 		socket.on('data', this.receive);
 		socket.on('error', () => {
@@ -86,6 +94,11 @@
 		this.take(count);
 	}
 
+	/** Waits for a later turn when this one has no room left for so much work on received bytes. */
+	async spendTurn(units: number): Promise<void> {
+		await this.turns.spend(units);
+	}
+
 	/**
 	 * Skips line ends and waits for the byte after them; false when the connection ends first.
 	 *
@@ -198,10 +211,9 @@
 			this.socket.resume();
 		}
 
-		const chunk = await new Promise<Chunk>(resolve => {
+		return new Promise<boolean>(resolve => {
 			this.waiting = resolve;
 		});
-		return chunk !== undefined;
 	}
 
 	private take(count: number): Buffer {
@@ -218,25 +230,43 @@
 		this.receivedCount += chunk.length;
 		this.share?.add(chunk.length);
 		this.pending.append(chunk);
-		if (this.pending.length > maxBufferedBytes && !this.waiting) {
+		if (this.waiting && !this.isHeldBack && this.turns.take(chunk.length)) {
+			this.settle(true);
+		} else if (this.waiting) {
+			this.holdBack(chunk.length);
+		} else if (this.pending.length > maxBufferedBytes) {
 			this.socket.pause();
 		}
-
-		this.settle(chunk);
 	};
 
+	/** Gives received bytes out in a later turn, and receives no more until then. */
+	private holdBack(bytes: number): void {
+		this.socket.pause();
+		if (!this.isHeldBack) {
+			this.isHeldBack = true;
+			this.turns.whenFree(bytes, () => {
+				this.isHeldBack = false;
+				this.settle(true);
+				this.socket.resume();
+			});
+		}
+	}
+
 	/** Ends reading. A later failure or stop replaces an end by the peer, as unread bytes are lost. */
 	private end(ending: Ending): void {
 		if (this.endedBy === undefined || this.endedBy === streamEndings.finished) {
 			this.endedBy = ending;
 		}
 
-		this.settle(undefined);
+		// Bytes that are held back come before the end.
+		if (!this.isHeldBack || ending === streamEndings.stopped) {
+			this.settle(false);
+		}
 	}
 
-	private settle(chunk: Chunk): void {
+	private settle(hasBytes: boolean): void {
 		const {waiting} = this;
 		this.waiting = undefined;
-		waiting?.(chunk);
+		waiting?.(hasBytes);
 	}
 }
--- a/packages/streams/src/chunked-decoder.ts
+++ b/packages/streams/src/chunked-decoder.ts
@@ -44,6 +44,7 @@
 	/** Bytes of an incomplete line in which there is no line end. */
 	private searched = 0;
 	private wasStopped = false;
+	private stepCount = 0;
 
 	private constructor(private readonly maxBytes: number) {}
 
@@ -57,6 +58,11 @@
 		return this.wasStopped;
 	}
 
+	/** Parts of the encoding that the last call has decoded. */
+	get lastSteps(): number {
+		return this.stepCount;
+	}
+
 	/** Bytes of the body that have been decoded. */
 	get length(): number {
 		return this.parts.length;
@@ -80,6 +86,7 @@
 			const step = this.decodeNext(bytes.subarray(used));
 			if (step === undefined) {
 				this.wasStopped = false;
+				this.stepCount = steps;
 				return used;
 			}
 
@@ -87,6 +94,7 @@
 		}
 
 		this.wasStopped = true;
+		this.stepCount = maxSteps;
 		return used;
 	}
 
--- a/packages/streams/src/read-chunked.ts
+++ b/packages/streams/src/read-chunked.ts
@@ -1,10 +1,12 @@
-import {setImmediate} from 'node:timers/promises';
 import type {ByteReader} from './byte-reader.js';
 import {ChunkedDecoder} from './chunked-decoder.js';
 import {minCountedBytes} from './min-counted-bytes.js';
 
-/** Parts of the encoding, three a chunk, that are decoded in one turn of the event loop. */
-const maxStepsPerTurn = 1000;
+/** Parts of the encoding, three a chunk, that are decoded at a time. */
+const maxSteps = 1000;
+
+/** Units of the turn that a part takes beside those of its bytes. */
+const unitsPerStep = 100;
 
 /** Bytes for which room is made at a time, since the length of the body is not known before. */
 const reservedBytes = 64 * 1024;
@@ -25,7 +27,7 @@
 	const decoder = ChunkedDecoder.create(maxBytes);
 	let roomBytes = minCountedBytes;
 	for (;;) {
-		reader.skip(decoder.decode(reader.unread, maxStepsPerTurn));
+		reader.skip(decoder.decode(reader.unread, maxSteps));
 		if (decoder.isComplete) {
 			return decoder.body;
 		}
@@ -36,9 +38,8 @@
 			}
 		}
 
-		if (decoder.hasStopped) {
-			await setImmediate();
-		} else if (!(await reader.more())) {
+		await reader.spendTurn(decoder.lastSteps * unitsPerStep);
+		if (!decoder.hasStopped && !(await reader.more())) {
 			return undefined;
 		}
 	}
--- a/packages/streams/test/linear-work.test.ts
+++ b/packages/streams/test/linear-work.test.ts
@@ -149,3 +149,47 @@
 	const {response} = await reading;
 	assert.equal(response.body.length, 200 * 0x10_00);
 });
+
+const partBytes = 64 * 1024;
+const connectionCount = 16;
+const partsPerConnection = 4;
+
+/** Bytes of all connections that may be decoded before others get their turn. */
+const maxBytesPerTurn = 512 * 1024;
+
+// A socket is read several times in a turn, so that a few endless peers fill it, however soon each is
+// left for the next.
+test('bytes of many connections are decoded in one turn', async () => {
+	const connections = Array.from({length: connectionCount}, () => {
+		const socket = silentSocket();
+		const reader = ByteReader.over(socket);
+		return {socket, reader, reading: readResponse(reader, {...limits, method: 'GET'})};
+	});
+	for (const {socket} of connections) {
+		socket.emit('data', Buffer.from('HTTP/1.1 200 OK\r\n\r\n'));
+	}
+
+	await setImmediate();
+	for (const {socket} of connections) {
+		for (let part = 0; part < partsPerConnection; part++) {
+			socket.emit('data', Buffer.alloc(partBytes));
+			// Promise reactions run between two reads of a turn.
+			await Promise.resolve();
+			await Promise.resolve();
+			await Promise.resolve();
+		}
+	}
+
+	const unread = connections.reduce((sum, {reader}) => sum + reader.bufferedBytes, 0);
+	const sent = connectionCount * partsPerConnection * partBytes;
+	assert.ok(sent - unread <= maxBytesPerTurn, `${sent - unread} bytes in one turn`);
+	for (const {socket} of connections) {
+		socket.emit('end');
+	}
+
+	// An end must not overtake bytes that wait for their turn.
+	for (const {reading} of connections) {
+		const {response} = await reading;
+		assert.equal(response.body.length, partsPerConnection * partBytes);
+	}
+});
