--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -66,6 +66,7 @@
 	policySectionAnnounced: define('MS4011', 'info', 'another member holds a newer policy section'),
 	livenessReportRejected: define('MS2006', 'warn', 'liveness report cannot be read'),
 	livenessReportOutdated: define('MS2007', 'info', 'liveness report is older than what is known'),
+	livenessReportUnused: define('MS2009', 'info', 'liveness report is of no upstream to use here'),
 	livenessReportUnconfirmed: define(
 		'MS2008',
 		'warn',
