One silent connection is enough to leave those that have been idle for as long

Cause: ConnectionPool probed idle connections one after the other, up to 150 ms each, without a bound on the whole; one that failed told nothing about the others. Ruled out: probes of all at once, which an endpoint answers with as many slots. Change: after one failed probe the pool closes the connections that have been idle for at least as long, and the call goes on a new one. MS2005 tells how many were closed. Conclusion: the wait is one probe and one opening, whatever the number of connections. An upstream that is too busy to answer a probe loses its idle connections at once, not one by one.

--- a/packages/node/src/upstream/connection-pool.ts
+++ b/packages/node/src/upstream/connection-pool.ts
@@ -67,7 +67,8 @@
 	/**
 	 * Acquires a connection. With `mustBeFresh`, the connection has either answered very recently or
 	 * answers a probe first. A silent connection is closed here, before the call is sent, and only
-	 * delays the call.
+	 * delays the call: what silenced it may have silenced those that have been idle for as long, so they
+	 * are closed with it, and the call goes on a new one.
 	 */
 	async acquire(mustBeFresh: boolean): Promise<Connection> {
 		for (;;) {
@@ -85,15 +86,14 @@
 				return connection;
 			}
 
-			if (
-				connection.isUsable &&
-				(mustBeFresh || isProbeRequired) &&
-				(await this.probe(connection))
-			) {
+			if (!connection.isUsable || !(mustBeFresh || isProbeRequired)) {
+				this.drop(connection);
+			} else if (await this.isHealthy(connection)) {
 				return connection;
+			} else {
+				this.dropSilent(connection);
+				return this.open();
 			}
-
-			this.drop(connection);
 		}
 	}
 
@@ -151,13 +151,17 @@
 		return connection;
 	}
 
-	private async probe(connection: Connection): Promise<boolean> {
-		const isUp = await this.isHealthy(connection);
-		if (!isUp) {
-			this.opts.log(events.connectionReplaced, {origin: this.opts.origin});
+	/** Closes a connection that did not answer a probe, and those that have been idle for as long. */
+	private dropSilent(silent: Connection): void {
+		const dropped = this.idle.filter(({lastAnswerMs}) => lastAnswerMs <= silent.lastAnswerMs);
+		for (const connection of dropped) {
+			this.idle.splice(this.idle.indexOf(connection), 1);
+			this.drop(connection);
 		}
 
-		return isUp;
+		this.drop(silent);
+		const {origin, log} = this.opts;
+		log(events.connectionReplaced, {origin, closed: dropped.length + 1});
 	}
 
 	private async isHealthy(connection: Connection): Promise<boolean> {
--- a/packages/node/test/late-calls.test.ts
+++ b/packages/node/test/late-calls.test.ts
@@ -139,6 +139,14 @@
 	return {actions, announce, clock, endOf, run, stop, upstream};
 };
 
+test('an action waits for one silent connection after the other', async t => {
+	const {actions, endOf, run, stop} = await setUp();
+	t.after(stop);
+	const outcome = await endOf(run(action), 300);
+	assert.equal(outcome?.result.kind, 'answer');
+	assert.equal(actions().length, 1);
+});
+
 test('an action reaches an upstream that drained while the action waited for a connection', async t => {
 	const {actions, announce, endOf, run, stop} = await setUp();
 	t.after(stop);
