Soak: late requests of a stop, another writer, silent connections before a drain, endless extensions

Its stops ended without a kill, its clients came from hosts of all services, one writer reported a host, links fell silent seldom just before a drain. Change: clients at a desk send actions of 1 to 2 s from the first host only, and go on while it stops; a stop ends in SIGKILL after 6 s; three kinds of steps are added (a stop of that host, a report of another writer before a drain, open connections silenced before a drain), with random numbers of their own, so that a seed keeps its other steps; one more spoilt answer. A new check: no request that is taken later than 3 s after SIGTERM runs and ends without an answer; it has a test.

--- a/packages/testbed/src/soak/apply-host-step.ts
+++ b/packages/testbed/src/soak/apply-host-step.ts
@@ -23,6 +23,12 @@
  */
 const drainWaitMs = 2500;
 
+/** Time in which reports of the upstream follow that of another writer, in milliseconds. */
+const foreignLeadMs = 1200;
+
+/** Time in which calls begin to wait for silent connections, in milliseconds. */
+const silentLeadMs = 100;
+
 /**
  * Applies a step that concerns one host, and records what it promises.
  *
@@ -38,6 +44,16 @@
 		drains.push({instance, confirmedMs: clock.monotonic()});
 	};
 
+	const drain = async () => {
+		const instance = await host.drainUpstream();
+		if (instance !== undefined) {
+			noteDrain(instance);
+		}
+
+		await setTimeout(drainWaitMs);
+		return host.replaceUpstream();
+	};
+
 	switch (step.kind) {
 		case 'link': {
 			const relay = host.relays[step.link];
@@ -88,13 +104,19 @@
 		}
 
 		case 'drain': {
-			const instance = await host.drainUpstream();
-			if (instance !== undefined) {
-				noteDrain(instance);
-			}
+			return drain();
+		}
 
-			await setTimeout(drainWaitMs);
-			return host.replaceUpstream();
+		case 'foreign-report-and-drain': {
+			await host.reportOfAnother();
+			await setTimeout(foreignLeadMs);
+			return drain();
+		}
+
+		case 'silence-and-drain': {
+			host.relays.upstream.silenceOpen();
+			await setTimeout(silentLeadMs);
+			return drain();
 		}
 	}
 };
--- a/packages/testbed/src/soak/draw-steps.ts
+++ b/packages/testbed/src/soak/draw-steps.ts
@@ -22,6 +22,13 @@
  */
 const maxFaultMs = 3000;
 
+/** Interval between two added steps, in milliseconds. */
+const addedIntervalMs = 5000;
+const addedSeedOffset = 1_000_000;
+
+/** Time in which calls on connections that were silenced are given up: that of their route. */
+const silenceMs = 2000;
+
 const linkNames = ['callers', 'upstream', 'peers', 'store'] as const;
 const activeLinkFaults = Object.values(linkFaults).filter(fault => fault !== linkFaults.none);
 
@@ -43,9 +50,22 @@
 		}
 	}
 
+	steps.push(...drawAddedSteps({seed, hosts, lengthMs}));
 	return steps.toSorted((one, other) => one.atMs - other.atMs);
 };
 
+/** Kinds that were added later have random numbers of their own, so that a seed keeps its other steps. */
+const drawAddedSteps = ({seed, hosts, lengthMs}: Opts): Step[] => {
+	const random = createRandom(seed + addedSeedOffset);
+	const steps: Step[] = [];
+	for (let atMs = random.next() * addedIntervalMs; atMs < lengthMs; atMs += addedIntervalMs) {
+		const createStep = addedStepFactories[random.below(addedStepFactories.length)]!;
+		steps.push(createStep({random, host: random.below(hosts), atMs, forMs: silenceMs}));
+	}
+
+	return steps;
+};
+
 const drawStep = (random: Random, hosts: number, atMs: number): Step => {
 	const host = random.below(hosts);
 	const forMs = Math.round(random.next() * maxFaultMs);
@@ -112,3 +132,10 @@
 	configureStep,
 	configureStep,
 ];
+
+/** A stop of the first host meets clients whose requests come from that host only. */
+const addedStepFactories: ReadonlyArray<(opts: StepOpts) => Step> = [
+	({atMs}) => ({kind: 'stop', host: 0, atMs, forMs: 0}),
+	hostStep('foreign-report-and-drain'),
+	hostStep('silence-and-drain', true),
+];
--- a/packages/testbed/src/soak/fault-spans-of.ts
+++ b/packages/testbed/src/soak/fault-spans-of.ts
@@ -8,6 +8,7 @@
 	'kill',
 	'depart-and-kill',
 	'crash-upstream',
+	'silence-and-drain',
 ]);
 
 /**
--- a/packages/testbed/src/soak/find-violations.ts
+++ b/packages/testbed/src/soak/find-violations.ts
@@ -176,6 +176,28 @@
 			),
 	);
 
+/** Time after the start of a stop from which no request may be taken that outlasts it, in milliseconds. */
+const excusedMs = 3000;
+
+const lateRequestsOfStopsAreAnswered: Check = record =>
+	stopsWithoutHarm(record).flatMap(({host, life, atMs}) =>
+		record.sent
+			.filter(
+				request =>
+					request.host === host &&
+					request.life === life &&
+					request.sentMs > atMs + excusedMs &&
+					request.status === undefined &&
+					!request.gaveUp &&
+					!request.hasLeft &&
+					record.runs.some(({id}) => id === request.id),
+			)
+			.map(
+				({id, sentMs, error}) =>
+					`${id} was taken by the stopping node ${host} after ${Math.round(sentMs - atMs)} ms, ran and got no answer: ${error}`,
+			),
+	);
+
 /** A node closes no connection on which its upstream is at work before the time of the call is up. */
 const workIsNotCutEarly: Check = ({sent, runs, stops, harm}) => {
 	const sentById = new Map(sent.map(request => [request.id, request]));
@@ -208,5 +230,6 @@
 	answersComeInTime,
 	plannedStopsInterruptNothing,
 	plannedStopsReplaceNoAnswer,
+	lateRequestsOfStopsAreAnswered,
 	workIsNotCutEarly,
 ];
--- a/packages/testbed/src/soak/oversized-heads.ts
+++ b/packages/testbed/src/soak/oversized-heads.ts
@@ -3,7 +3,8 @@
 
 /**
  * Answers that are costly to read where work grows faster than the bytes: heads as long as a node
- * reads, one of them without an end, and a body in chunks of one byte without an end.
+ * reads, one of them without an end, and bodies in chunks of one byte, also with extensions, without an
+ * end.
  *
  * @example
  * socket.write(oversizedHeads[0]);
@@ -13,4 +14,5 @@
 	`HTTP/1.1 200 OK\r\nServer-Seal: a${'\t'.repeat(lineBytes)}`,
 	`HTTP/1.1 200 OK\r\n${'a: b\r\n'.repeat(10_000)}\r\n`,
 	`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\na\r\n'.repeat(40_000)}`,
+	`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${`1;${'x'.repeat(190)}\r\na\r\n`.repeat(40_000)}`,
 ];
--- a/packages/testbed/src/soak/relay.ts
+++ b/packages/testbed/src/soak/relay.ts
@@ -41,6 +41,7 @@
 	private currentFault: LinkFault = linkFaults.none;
 	private readonly sockets = new Set<Socket>();
 	private readonly resetSockets = new WeakSet<Socket>();
+	private readonly silentSockets = new WeakSet<Socket>();
 
 	private constructor(
 		private readonly server: net.Server,
@@ -62,6 +63,13 @@
 		}
 	}
 
+	/** Drops all further bytes of the connections that are open now, while new ones work. */
+	silenceOpen(): void {
+		for (const socket of this.sockets) {
+			this.silentSockets.add(socket);
+		}
+	}
+
 	/** Closes all connections and stops listening. */
 	async stop(): Promise<void> {
 		for (const socket of this.sockets) {
@@ -112,7 +120,9 @@
 				}
 
 				hasDroppedBytes ||=
-					this.currentFault === linkFaults.silence || this.currentFault === dropFault;
+					this.silentSockets.has(from) ||
+					this.currentFault === linkFaults.silence ||
+					this.currentFault === dropFault;
 				if (!hasDroppedBytes) {
 					to.write(chunk as Buffer);
 				}
--- a/packages/testbed/src/soak/soak-configuration.ts
+++ b/packages/testbed/src/soak/soak-configuration.ts
@@ -1,11 +1,20 @@
 const maxBodyBytes = 10_000;
 const maxHeaderBytes = 8000;
-const timeoutMs = 2000;
+const defaultTimeoutMs = 2000;
+const deskTimeoutMs = 5000;
 
 /** Prefix of the route that a configuration version adds and the next version removes. */
 const prefixOf = (version: number): string => `/only-${version}/`;
 
-const createRule = (name: string, prefix: string, kind: string, service: string) => ({
+type Rule = {
+	readonly name: string;
+	readonly prefix: string;
+	readonly kind: 'idempotent' | 'non_idempotent';
+	readonly service: string;
+	readonly timeoutMs?: number;
+};
+
+const createRule = ({name, prefix, kind, service, timeoutMs = defaultTimeoutMs}: Rule) => ({
 	name,
 	routeKind: kind,
 	targetLatencyMs: 300,
@@ -17,7 +26,7 @@
 const createCluster = (name: string) => ({name, healthPath: '/health', maxConns: 50});
 
 /**
- * The configuration versions of a soak. Each has two permanent routes of callers, two of inner calls and one
+ * The configuration versions of a soak. Each has three permanent routes of callers, two of inner calls and one
  * route that exists in this version only.
  *
  * @example
@@ -38,11 +47,23 @@
 			{
 				host: 'shop.example',
 				rules: [
-					createRule('look', '/look/', 'idempotent', 'catalogue'),
-					createRule('pay', '/pay/', 'non_idempotent', 'payment'),
-					createRule('check', '/check/', 'idempotent', 'payment'),
-					createRule('stock', '/stock/', 'idempotent', 'catalogue'),
-					createRule(`only-${version}`, prefixOf(version), 'idempotent', 'catalogue'),
+					createRule({name: 'look', prefix: '/look/', kind: 'idempotent', service: 'catalogue'}),
+					createRule({name: 'pay', prefix: '/pay/', kind: 'non_idempotent', service: 'payment'}),
+					createRule({
+						name: 'desk',
+						prefix: '/desk/',
+						kind: 'non_idempotent',
+						service: 'payment',
+						timeoutMs: deskTimeoutMs,
+					}),
+					createRule({name: 'check', prefix: '/check/', kind: 'idempotent', service: 'payment'}),
+					createRule({name: 'stock', prefix: '/stock/', kind: 'idempotent', service: 'catalogue'}),
+					createRule({
+						name: `only-${version}`,
+						prefix: prefixOf(version),
+						kind: 'idempotent',
+						service: 'catalogue',
+					}),
 				],
 			},
 		],
--- a/packages/testbed/src/soak/soak-host.ts
+++ b/packages/testbed/src/soak/soak-host.ts
@@ -22,6 +22,9 @@
 
 type InnerCall = Pick<Parameters<typeof sendRequest>[0], 'id' | 'prefix' | 'deadlineMs' | 'signal'>;
 
+/** Time after SIGTERM at which the daemon is killed, in milliseconds: `graceS` of the platform. */
+const graceMs = 6000;
+
 /** Interval between the liveness reports of an upstream, in milliseconds. */
 const reportIntervalMs = 500;
 
@@ -138,8 +141,14 @@
 	/** Ends the daemon with a signal, waits for its exit and starts it again. */
 	async restartDaemon(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
 		await this.runInOrder(async () => {
-			await this.daemon?.child.end(signal);
-			await this.daemon?.stop();
+			const {daemon} = this;
+			// As on the platform, a stop that takes too long ends at once.
+			const kill = globalThis.setTimeout(() => {
+				daemon?.child.signal('SIGKILL');
+			}, graceMs);
+			await daemon?.child.end(signal);
+			clearTimeout(kill);
+			await daemon?.stop();
 			await this.startIfStopped();
 		});
 	}
@@ -185,6 +194,17 @@
 		return (await this.report()) ? instance : undefined;
 	}
 
+	/** Sends the report of another writer: of a service that nothing names, with a later start. */
+	async reportOfAnother(): Promise<void> {
+		const report = {
+			address: this.upstreamAddress,
+			info: {service: 'unnamed', version: 'v1', zone: 'z', slots: 20},
+			status: {state: 'ready', seq: 1, coldLeftMs: 0},
+			born: Date.now(),
+		};
+		await this.notify(async port => this.upstream.send(port, JSON.stringify(report), 'i-other'));
+	}
+
 	/** Reports the upstream periodically until the signal aborts. */
 	async runReportLoop(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
--- a/packages/testbed/src/soak/soak-upstream.ts
+++ b/packages/testbed/src/soak/soak-upstream.ts
@@ -102,7 +102,8 @@
 			}
 		});
 		const isSlow = (startMs + slowAtMs) % slowPeriodMs < slowForMs;
-		await setTimeout((isSlow ? slowWorkMs : minWorkMs) * (1 + random.next()));
+		const isLong = isSlow || target.startsWith('/desk/');
+		await setTimeout((isLong ? slowWorkMs : minWorkMs) * (1 + random.next()));
 		const prefix = innerCalls.get(`/${target.split('/')[1]}/`);
 		if (prefix !== undefined && random.next() < innerCallShare) {
 			const leftMs = Number(req.headers['deadline-ms']) - (clock.monotonic() - startMs);
--- a/packages/testbed/src/soak/soak.ts
+++ b/packages/testbed/src/soak/soak.ts
@@ -8,6 +8,7 @@
 import type {SoakRecord} from './soak-record.js';
 import type {UpstreamRun} from './upstream-run.js';
 import type {SentRequest} from './sent-request.js';
+import {runDeskClients} from './run-desk-clients.js';
 import {runSoakCaller} from './soak-caller.js';
 import {soakConfiguration} from './soak-configuration.js';
 import {SoakHost} from './soak-host.js';
@@ -167,7 +168,9 @@
 
 	private startCallers(signal: AbortSignal): Array<Promise<void>> {
 		const {clock, callersPerHost} = this.opts;
-		return this.hosts.flatMap(host =>
+		const onSent = (sent: SentRequest) => this.sent.push(sent);
+		const desk = runDeskClients({host: this.hosts[0]!, clock, onSent}, signal);
+		const callers = this.hosts.flatMap(host =>
 			Array.from({length: callersPerHost}, async (_, index) =>
 				runSoakCaller(
 					{
@@ -176,12 +179,13 @@
 						clock,
 						random: this.random,
 						newestPrefix: () => soakConfiguration.prefixOf(this.version),
-						onSent: sent => this.sent.push(sent),
+						onSent,
 					},
 					signal,
 				),
 			),
 		);
+		return [desk, ...callers];
 	}
 
 	/** Writes the next configuration version to the store, as an operator does. */
--- a/packages/testbed/src/soak/step.ts
+++ b/packages/testbed/src/soak/step.ts
@@ -37,6 +37,8 @@
 					| 'drain'
 					| 'depart-and-kill'
 					| 'crash-upstream'
+					| 'foreign-report-and-drain'
+					| 'silence-and-drain'
 					| 'spoil';
 		  })
 		| {readonly kind: 'store-down' | 'store-slow' | 'store-forgets' | 'store-loses-answers'}
--- a/packages/testbed/src/upstream/routed-upstream.ts
+++ b/packages/testbed/src/upstream/routed-upstream.ts
@@ -102,9 +102,9 @@
 		});
 	}
 
-	/** Sends a report; resolves with the HTTP status. */
-	async send(livenessPort: number, report: string): Promise<number> {
-		return this.notifyNode(livenessPort, 'PUT', report);
+	/** Sends a report, under this ID or another one; resolves with the HTTP status. */
+	async send(livenessPort: number, report: string, id = this.id): Promise<number> {
+		return this.notifyNode(livenessPort, 'PUT', report, id);
 	}
 
 	/** Tells the node that the upstream leaves; resolves with the HTTP status. It goes on serving. */
@@ -126,8 +126,9 @@
 		livenessPort: number,
 		method: 'PUT' | 'DELETE',
 		body?: string,
+		id = this.id,
 	): Promise<number> {
-		const reply = await request(`http://127.0.0.1:${livenessPort}/-/instances/${this.id}`, {
+		const reply = await request(`http://127.0.0.1:${livenessPort}/-/instances/${id}`, {
 			method,
 			...(body === undefined ? {} : {headers: {'content-type': 'application/json'}, body}),
 		});
--- a/packages/testbed/test/soak.test.ts
+++ b/packages/testbed/test/soak.test.ts
@@ -109,6 +109,15 @@
 		},
 		/answered 504 by the stopping node h1/v,
 	],
+	[
+		'is taken late by a stopping node, runs and gets no answer',
+		{
+			sent: [{...interruptedRequest, sentMs: 4500, endMs: 6000}],
+			runs: [{...run, atMs: 4510}],
+			stops: [{host: 'h1', life: 1, atMs: 1020}],
+		},
+		/taken by the stopping node h1 after 3480 ms/v,
+	],
 	[
 		'is cut off while its upstream works on it',
 		{
@@ -152,7 +161,7 @@
 	assert.deepEqual(drawSteps({...opts, seed: 7}), drawSteps({...opts, seed: 7}));
 	assert.notDeepEqual(drawSteps({...opts, seed: 7}), drawSteps({...opts, seed: 8}));
 	const kinds = new Set(drawSteps({...opts, seed: 7, lengthMs: 600_000}).map(({kind}) => kind));
-	assert.equal(kinds.size, 15);
+	assert.equal(kinds.size, 17);
 });
 
 for (const {cause, ...opts} of soakCases) {
