Soak: requests of a stop are chosen in one place; a report of another has a fixed start

Change: what belongs to a stopping process, and what was cut, is told by two functions that the checks share; the start time in the report of another writer is a number instead of the wall clock; a comment is wrapped. No program changes.

--- a/packages/node/src/calls/call-sender.ts
+++ b/packages/node/src/calls/call-sender.ts
@@ -66,7 +66,8 @@
 	/**
 	 * Sends the call until it has an answer, may not be retried, or has no endpoint left. One that may
 	 * be repeated and stalls is tried at another endpoint as well, and the first answer is taken. While
-	 * the process stops, no attempt starts that it may not live to see the end of. Calls `onTried` with the node of each endpoint before it is tried.
+	 * the process stops, no attempt starts that it may not live to see the end of. Calls `onTried` with
+	 * the node of each endpoint before it is tried.
 	 */
 	async send(
 		request: CallRequest,
--- a/packages/testbed/src/soak/find-violations.ts
+++ b/packages/testbed/src/soak/find-violations.ts
@@ -133,20 +133,22 @@
 			!harm.some(({fromMs, toMs}) => fromMs < atMs + graceMs && toMs > atMs - stableWindowMs),
 	);
 
+/** Requests that a stopping process has received. */
+const sentTo = ({sent}: SoakRecord, {host, life}: SoakRecord['stops'][number]): SentRequest[] =>
+	sent.filter(request => request.host === host && request.life === life);
+
+/** Whether the connection of a request has ended without an answer, and not by its caller. */
+const wasCut = ({status, gaveUp, hasLeft}: SentRequest): boolean =>
+	status === undefined && !gaveUp && !hasLeft;
+
 const plannedStopsInterruptNothing: Check = record =>
-	stopsWithoutHarm(record).flatMap(({host, life, atMs}) =>
-		record.sent
+	stopsWithoutHarm(record).flatMap(stop =>
+		sentTo(record, stop)
 			.filter(
 				request =>
-					request.host === host &&
-					request.life === life &&
-					request.sentMs < atMs + noticeMs &&
-					request.endMs > atMs &&
-					request.status === undefined &&
-					!request.gaveUp &&
-					!request.hasLeft,
+					request.sentMs < stop.atMs + noticeMs && request.endMs > stop.atMs && wasCut(request),
 			)
-			.map(({id, error}) => `${id} was cut by the planned stop of ${host}: ${error}`),
+			.map(({id, error}) => `${id} was cut by the planned stop of ${stop.host}: ${error}`),
 	);
 
 /** Share of the stop time in which a node may end what its upstream is still at work on. */
@@ -158,11 +160,9 @@
  */
 const plannedStopsReplaceNoAnswer: Check = record =>
 	stopsWithoutHarm(record).flatMap(({host, life, atMs}) =>
-		record.sent
+		sentTo(record, {host, life, atMs})
 			.filter(
 				request =>
-					request.host === host &&
-					request.life === life &&
 					request.endMs > atMs &&
 					request.endMs < atMs + graceMs * (1 - finalShare) &&
 					request.endMs < request.sentMs + request.deadlineMs &&
@@ -181,15 +181,11 @@
 
 const lateRequestsOfStopsAreAnswered: Check = record =>
 	stopsWithoutHarm(record).flatMap(({host, life, atMs}) =>
-		record.sent
+		sentTo(record, {host, life, atMs})
 			.filter(
 				request =>
-					request.host === host &&
-					request.life === life &&
 					request.sentMs > atMs + excusedMs &&
-					request.status === undefined &&
-					!request.gaveUp &&
-					!request.hasLeft &&
+					wasCut(request) &&
 					record.runs.some(({id}) => id === request.id),
 			)
 			.map(
--- a/packages/testbed/src/soak/soak-host.ts
+++ b/packages/testbed/src/soak/soak-host.ts
@@ -25,6 +25,9 @@
 /** Time after SIGTERM at which the daemon is killed, in milliseconds: `graceS` of the platform. */
 const graceMs = 6000;
 
+/** Start time in the report of another writer: later than those of upstreams, which are their numbers. */
+const laterStart = 1_000_000;
+
 /** Interval between the liveness reports of an upstream, in milliseconds. */
 const reportIntervalMs = 500;
 
@@ -200,7 +203,7 @@
 			address: this.upstreamAddress,
 			info: {service: 'unnamed', version: 'v1', zone: 'z', slots: 20},
 			status: {state: 'ready', seq: 1, coldLeftMs: 0},
-			born: Date.now(),
+			born: laterStart,
 		};
 		await this.notify(async port => this.upstream.send(port, JSON.stringify(report), 'i-other'));
 	}
