--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -34,6 +34,8 @@
 export {SlotLimit} from './slot-limit.js';
 export {StandIn} from './stand-in.js';
 export {staggeredWait} from './staggered-wait.js';
+export type {StopWindow} from './stop-window.js';
+export {timeBeforeStop} from './time-before-stop.js';
 export {WeightedRoundRobin} from './weighted-round-robin.js';
 export {ServableShare} from './servable-share.js';
 export {subsetEndpoints} from './subset-endpoints.js';
--- a/packages/node/src/calls/call-faults.ts
+++ b/packages/node/src/calls/call-faults.ts
@@ -22,6 +22,11 @@
 		'A service that this request needs takes no more work of its rank now',
 		'Send it again after the time that the answer names',
 	),
+	nodeStopping: Fault.of(
+		faultKinds.draining,
+		'This node stops and may end before the answer to this request has come',
+		'Send the request to another node',
+	),
 	noEndpoint: Fault.of(
 		faultKinds.noEndpoint,
 		'No upstream of this service takes work in this data centre now',
--- a/packages/node/src/calls/call-sender.ts
+++ b/packages/node/src/calls/call-sender.ts
@@ -1,5 +1,11 @@
 import {type Clock, type Log, events, faultKinds} from '@medlarsaddle/core';
-import type {RetryAllowance, Endpoint, RetryBudget} from '@medlarsaddle/control';
+import {
+	type Endpoint,
+	type RetryAllowance,
+	type RetryBudget,
+	type StopWindow,
+	timeBeforeStop,
+} from '@medlarsaddle/control';
 import type {Member} from '@medlarsaddle/members';
 import {type CallOutcome, type CallRequest, callModes, runStates} from '@medlarsaddle/wire';
 import type {Peers} from '../peers/peers.js';
@@ -25,6 +31,8 @@
 	readonly freeRetryFaults: ReadonlySet<string>;
 	/** Whether the calls below a request share its retries, so that each attempt takes some along. */
 	readonly sharesRetries: boolean;
+	/** What is left to this process while it stops; undefined when it does not. */
+	readonly stopWindow: () => StopWindow | undefined;
 	/** Whether retries are limited by a budget; turned off only for comparison. */
 	readonly hasRetryBudget: boolean;
 };
@@ -33,6 +41,9 @@
 const maxFreeRetries = 2;
 const maxRetryBudgets = 2000;
 
+/** How long a caller that is refused by a stopping node should wait before a retry. */
+const stoppingRetryAfterMs = 200;
+
 /**
  * Sends a call to an endpoint, and retries it at another one when that is safe and the allowance
  * permits.
@@ -54,8 +65,8 @@
 
 	/**
 	 * Sends the call until it has an answer, may not be retried, or has no endpoint left. One that may
-	 * be repeated and stalls is tried at another endpoint as well, and the first answer is taken. Calls
-	 * `onTried` with the node of each endpoint before it is tried.
+	 * be repeated and stalls is tried at another endpoint as well, and the first answer is taken. While
+	 * the process stops, no attempt starts that it may not live to see the end of. Calls `onTried` with the node of each endpoint before it is tried.
 	 */
 	async send(
 		request: CallRequest,
@@ -63,15 +74,17 @@
 		signal: AbortSignal,
 		onTried: (node: string) => void = () => {},
 	): Promise<CallOutcome> {
-		const {clock, selector} = this.opts;
+		const {clock, selector, stopWindow} = this.opts;
 		const endMs = clock.monotonic() + request.remainingMs;
 		const tried = new Set<string>();
 		const retryBudget = this.retryBudgetOf(request.service);
 		retryBudget.noteFirstAttempt();
 		const attempts = OpenAttempts.create(signal);
 		const spendRetry = () => this.trySpendRetry(retryBudget, allowance, tried.size);
+		const timeLeft = () =>
+			timeBeforeStop({...request, remainingMs: endMs - clock.monotonic()}, stopWindow());
 		const start = (mayStart: () => boolean, cause?: AttemptEvent) => {
-			const remainingMs = endMs - clock.monotonic();
+			const remainingMs = timeLeft() ?? 0;
 			const hasTime = remainingMs > 0 && !signal.aborted;
 			const endpoint = hasTime ? selector.choose(request, tried) : undefined;
 			if (!endpoint || !mayStart()) {
@@ -94,7 +107,7 @@
 
 		let freeRetries = 0;
 		let mayHaveRun = false;
-		let last = refusalOf(callFaults.noEndpoint, runStates.notRun, 0, {retryAfterMs: 1000});
+		let last = timeLeft() === undefined ? stoppingOutcome : noEndpointOutcome;
 		start(isAlwaysAllowed);
 		try {
 			while (attempts.size > 0) {
@@ -198,6 +211,13 @@
 	}
 }
 
+const noEndpointOutcome = refusalOf(callFaults.noEndpoint, runStates.notRun, 0, {
+	retryAfterMs: 1000,
+});
+const stoppingOutcome = refusalOf(callFaults.nodeStopping, runStates.notRun, 0, {
+	retryAfterMs: stoppingRetryAfterMs,
+});
+
 /** For an attempt that takes no retry from a budget. */
 const isAlwaysAllowed = () => true;
 
--- a/packages/node/src/root/lifecycle.ts
+++ b/packages/node/src/root/lifecycle.ts
@@ -1,3 +1,4 @@
+import type {StopWindow} from '@medlarsaddle/control';
 import {type Clock, Fault, faultKinds} from '@medlarsaddle/core';
 
 type Opts = {
@@ -21,7 +22,8 @@
 
 	private readonly calls = new Set<Promise<void>>();
 	private lastHeartbeatMs: number;
-	private isMarkedNotReady = false;
+	/** When the process ends, in monotonic milliseconds; undefined while it does not stop. */
+	private endsMs: number | undefined;
 	private hasStartedDraining = false;
 	private hasLeaseExpired = false;
 	private readonly rejoinWaiters = new Set<() => void>();
@@ -48,12 +50,25 @@
 
 	/** Whether callers should send requests to this node. */
 	get isReady(): boolean {
-		return !this.isMarkedNotReady && !this.hasStartedDraining && !this.isLeaseExpired;
+		return this.endsMs === undefined && !this.hasStartedDraining && !this.isLeaseExpired;
 	}
 
-	/** Makes the node unready while it still accepts work, so that callers move to other nodes. */
-	markNotReady(): void {
-		this.isMarkedNotReady = true;
+	/** What is left to this process while it stops; undefined when it does not. */
+	get stopWindow(): StopWindow | undefined {
+		return this.endsMs === undefined
+			? undefined
+			: {
+					untilEndMs: this.endsMs - this.opts.clock.monotonic(),
+					isNoticeOver: this.hasStartedDraining,
+				};
+	}
+
+	/**
+	 * Makes the node unready while it still accepts work, so that callers move to other nodes. The
+	 * process may end after this time, in milliseconds.
+	 */
+	beginStop(untilEndMs: number): void {
+		this.endsMs = this.opts.clock.monotonic() + untilEndMs;
 	}
 
 	/** Fault with which new work is refused; undefined while it is accepted. */
--- a/packages/node/src/root/node.ts
+++ b/packages/node/src/root/node.ts
@@ -171,8 +171,9 @@
 	 */
 	async stop(): Promise<void> {
 		const {inFlight, lifecycle, upstream, gossip, clock, log, settings} = this.cradle;
-		log(events.nodeDraining);
-		lifecycle.markNotReady();
+		const untilEndMs = settings.noticeMs + settings.stopSeconds * 1000;
+		log(events.nodeDraining, {untilEndMs});
+		lifecycle.beginStop(untilEndMs);
 		await clock.sleep(settings.noticeMs / 2);
 		upstream.setDraining(true);
 		await clock.sleep(settings.noticeMs / 2);
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -47,7 +47,19 @@
 			}),
 		),
 		sender: singleton(
-			({clock, log, directory, peers, upstream, self, settings, selector, strategy, gossip}) =>
+			({
+				clock,
+				log,
+				directory,
+				peers,
+				upstream,
+				self,
+				settings,
+				selector,
+				strategy,
+				gossip,
+				lifecycle,
+			}) =>
 				CallSender.create({
 					clock,
 					log,
@@ -63,6 +75,7 @@
 						}),
 					freeRetryFaults: strategy.freeRetryFaults,
 					sharesRetries: strategy.sharesRetries,
+					stopWindow: () => lifecycle.stopWindow,
 					hasRetryBudget: settings.admission === 'on',
 				}),
 		),
--- a/packages/node/test/call-sender.test.ts
+++ b/packages/node/test/call-sender.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {setImmediate} from 'node:timers/promises';
-import {RetryAllowance, RetryBudget} from '@medlarsaddle/control';
+import {RetryAllowance, RetryBudget, type StopWindow} from '@medlarsaddle/control';
 import {ManualClock, createRandom, faultKinds} from '@medlarsaddle/core';
 import type {Member} from '@medlarsaddle/members';
 import {
@@ -67,6 +67,7 @@
 	readonly run?: UpstreamProxy['run'];
 	readonly call?: Peers['call'];
 	readonly selector?: EndpointSelector;
+	readonly stopWindow?: StopWindow;
 };
 
 /** A sender beside a live upstream; the host of the other endpoint has just been killed. */
@@ -75,6 +76,7 @@
 	run = async () => answered,
 	call = async () => unreachable,
 	selector,
+	stopWindow,
 }: SenderOpts): CallSender => {
 	const endpoints = ['live', 'killed'].map(node => endpointOf(node));
 	const directory = {
@@ -92,6 +94,7 @@
 		createRetryBudget: () => RetryBudget.create({ratio: 0, maxTokens: () => 1}),
 		freeRetryFaults,
 		sharesRetries: true,
+		stopWindow: () => stopWindow,
 		hasRetryBudget: true,
 	});
 };
@@ -235,3 +238,106 @@
 	assert.equal(signals.length, 20);
 	assert.deepEqual(taken, []);
 });
+
+const action = {...request, idempotent: false, goalMs: 300};
+const lookUp = {...request, goalMs: 300};
+
+const stops: ReadonlyArray<{
+	readonly what: string;
+	readonly sent: CallRequest;
+	readonly stopWindow: StopWindow;
+	/** Time that the endpoint is given; undefined when the call must not be sent. */
+	readonly expectedMs: number | undefined;
+}> = [
+	{
+		what: 'an action that outlasts the process',
+		sent: action,
+		stopWindow: {untilEndMs: 900, isNoticeOver: true},
+		expectedMs: undefined,
+	},
+	{
+		what: 'an action that outlasts a process with a long stop',
+		sent: {...action, remainingMs: 30_000},
+		stopWindow: {untilEndMs: 29_000, isNoticeOver: true},
+		expectedMs: undefined,
+	},
+	{
+		what: 'an action with more time than the process before callers could notice the stop',
+		sent: action,
+		stopWindow: {untilEndMs: 900, isNoticeOver: false},
+		expectedMs: 900,
+	},
+	{
+		what: 'an action that ends before the process',
+		sent: action,
+		stopWindow: {untilEndMs: 1000, isNoticeOver: true},
+		expectedMs: 1000,
+	},
+	{
+		what: 'a look-up with more time than the process',
+		sent: lookUp,
+		stopWindow: {untilEndMs: 400, isNoticeOver: true},
+		expectedMs: 400,
+	},
+	{
+		what: 'a look-up whose answer is not expected before the process ends',
+		sent: lookUp,
+		stopWindow: {untilEndMs: 300, isNoticeOver: true},
+		expectedMs: undefined,
+	},
+	{
+		what: 'a look-up after the time at which the process may end',
+		sent: {...lookUp, goalMs: 0},
+		stopWindow: {untilEndMs: -1, isNoticeOver: true},
+		expectedMs: undefined,
+	},
+];
+
+// It runs, and its connection ends with the process without an answer.
+for (const {what, sent, stopWindow, expectedMs} of stops) {
+	test(`a stopping node sends ${what} as if it went on`, async () => {
+		const given: number[] = [];
+		const sender = createSender({
+			freeRetryFaults,
+			selector,
+			stopWindow,
+			async run({remainingMs}) {
+				given.push(remainingMs);
+				return answered;
+			},
+		});
+		const {signal} = new AbortController();
+		const {result} = await sender.send(sent, RetryAllowance.of(1), signal);
+		assert.deepEqual(given, expectedMs === undefined ? [] : [expectedMs]);
+		if (result.kind === 'refusal') {
+			assert.equal(result.fault, faultKinds.draining);
+			assert.equal(result.run, runStates.notRun);
+			assert.equal(result.retryAfterMs, 200);
+		} else {
+			assert.notEqual(expectedMs, undefined);
+		}
+	});
+}
+
+// The first attempt was let through while the process had time for it.
+test('a stopping node tries a refused action again for longer than it lives', async () => {
+	const stopWindow = {untilEndMs: 2000, isNoticeOver: true};
+	const called: string[] = [];
+	const sender = createSender({
+		freeRetryFaults,
+		selector,
+		stopWindow,
+		async run() {
+			stopWindow.untilEndMs = 900;
+			return refusalOf(proxyFaults.draining, runStates.notRun, 0);
+		},
+		async call({id}) {
+			called.push(id);
+			return answered;
+		},
+	});
+	const {signal} = new AbortController();
+	const {result} = await sender.send(action, RetryAllowance.of(1), signal);
+	assert.deepEqual(called, []);
+	assert.ok(result.kind === 'refusal' && result.run === runStates.notRun);
+});
