--- a/packages/node/src/callers/serve-calls.ts
+++ b/packages/node/src/callers/serve-calls.ts
@@ -13,8 +13,8 @@
 	readonly issueKey: () => string;
 	/** Fault with which new work is refused while the node drains; undefined otherwise. */
 	readonly drainingFault: () => Fault | undefined;
-	/** Resolves once the node may act: at once, or when it has rejoined after a pause. */
-	readonly waitUntilRejoined: () => Promise<void>;
+	/** Resolves with the milliseconds waited once the node may act: at once, or rejoined after a pause. */
+	readonly waitUntilRejoined: () => Promise<number>;
 	readonly isFromUpstream: boolean;
 	readonly track: (call: Promise<void>) => void;
 };
@@ -54,8 +54,14 @@
 				abort.abort(new Error('The caller disconnected'));
 			}
 		});
-		await deps.waitUntilRejoined();
-		const completed = await deps.router.handle(incoming.value, abort.signal);
+		const waitedMs = await deps.waitUntilRejoined();
+		const {deadlineMs} = incoming.value;
+		const completed = await deps.router.handle(
+			deadlineMs === undefined
+				? incoming.value
+				: {...incoming.value, deadlineMs: deadlineMs - waitedMs},
+			abort.signal,
+		);
 		const hasKey = incoming.value.key !== undefined;
 		await sendOutcome(reply, completed, hasKey ? deps.issueKey() : undefined);
 	};
--- a/packages/node/src/peers/peer-faults.ts
+++ b/packages/node/src/peers/peer-faults.ts
@@ -12,6 +12,16 @@
 		'The call was given up before the answer came',
 		'Send it again if the answer is still wanted',
 	),
+	notSent: Fault.of(
+		faultKinds.deadlineExceeded,
+		'The deadline of the call passed before it could be sent',
+		'Send the call again with a later deadline',
+	),
+	notWanted: Fault.of(
+		faultKinds.cancelled,
+		'The call was given up before it could be sent',
+		'Send it again if the answer is still wanted',
+	),
 	deadlineExceeded: Fault.of(
 		faultKinds.deadlineExceeded,
 		'The answer did not come before the deadline',
--- a/packages/node/src/peers/peer.ts
+++ b/packages/node/src/peers/peer.ts
@@ -137,8 +137,13 @@
 			return undefined;
 		}
 
-		const id = this.nextId++;
 		const remainingMs = request.remainingMs - (this.opts.clock.monotonic() - startMs);
+		if (signal.aborted || remainingMs <= 0) {
+			const fault = signal.aborted ? peerFaults.notWanted : peerFaults.notSent;
+			return refusalOf(fault, runStates.notRun, request.allowance);
+		}
+
+		const id = this.nextId++;
 		const timeoutMs = remainingMs + deadlineGraceMs;
 		const reply = this.replies.wait({id, timeoutMs, signal, onStalled});
 		const call: MessageOf<'call'> = {
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -65,10 +65,13 @@
 		member: Member,
 		{mode, request, signal, onStalled}: OutgoingCall,
 	): Promise<CallOutcome> {
+		const {clock} = this.opts;
+		const endMs = clock.monotonic() + request.remainingMs;
 		// A connection that did not answer a probe was closed; a new one may work at once.
 		for (let attempt = 0; attempt < maxConnectAttempts; attempt++) {
 			const peer = await this.connect(member);
-			const outcome = await peer?.call(mode, request, signal, onStalled);
+			const remainingMs = endMs - clock.monotonic();
+			const outcome = await peer?.call(mode, {...request, remainingMs}, signal, onStalled);
 			if (outcome) {
 				return outcome;
 			}
--- a/packages/node/src/root/core-of.ts
+++ b/packages/node/src/root/core-of.ts
@@ -29,8 +29,10 @@
 			config.onSection(listener, signal);
 		},
 		async forward(incoming, signal) {
-			await lifecycle.waitUntilRejoined();
-			const call = forwarder.forward(incoming, signal);
+			const waitedMs = await lifecycle.waitUntilRejoined();
+			const remainingMs =
+				incoming.remainingMs === undefined ? undefined : incoming.remainingMs - waitedMs;
+			const call = forwarder.forward({...incoming, remainingMs}, signal);
 			lifecycle.track(call.then(() => {}));
 			return call;
 		},
--- a/packages/node/src/root/lifecycle.ts
+++ b/packages/node/src/root/lifecycle.ts
@@ -92,13 +92,20 @@
 		this.rejoinWaiters.clear();
 	}
 
-	/** Resolves once the node may act: at once, or when it has rejoined after a pause. */
-	async waitUntilRejoined(): Promise<void> {
-		if (this.isLeaseExpired) {
-			await new Promise<void>(resolve => {
-				this.rejoinWaiters.add(resolve);
-			});
+	/**
+	 * Resolves once the node may act: at once, or when it has rejoined after a pause. The value is the time
+	 * waited, in milliseconds, by which the time of a request has to be reduced.
+	 */
+	async waitUntilRejoined(): Promise<number> {
+		if (!this.isLeaseExpired) {
+			return 0;
 		}
+
+		const startMs = this.opts.clock.monotonic();
+		await new Promise<void>(resolve => {
+			this.rejoinWaiters.add(resolve);
+		});
+		return this.opts.clock.monotonic() - startMs;
 	}
 
 	/** Starts to drain: new work is refused from now on. */
--- a/packages/node/src/root/register-calls.ts
+++ b/packages/node/src/root/register-calls.ts
@@ -171,8 +171,7 @@
 };
 
 const createHandlers = (cradle: Cradle): Handlers => {
-	const {clock, upstream, keyedCalls, router, config, gossip, lifecycle, ledger, collector} =
-		cradle;
+	const {upstream, keyedCalls, router, config, gossip, lifecycle, ledger, collector} = cradle;
 	type CallHandler = Handlers['run'];
 
 	/**
@@ -186,9 +185,7 @@
 				return handle(request, signal, onStalled);
 			}
 
-			const startMs = clock.monotonic();
-			await lifecycle.waitUntilRejoined();
-			const remainingMs = request.remainingMs - (clock.monotonic() - startMs);
+			const remainingMs = request.remainingMs - (await lifecycle.waitUntilRejoined());
 			return signal.aborted || remainingMs <= 0
 				? refusalOf(pausedTooLong, run, request.allowance)
 				: handle({...request, remainingMs}, signal, onStalled);
--- a/packages/node/src/upstream/connection.ts
+++ b/packages/node/src/upstream/connection.ts
@@ -29,7 +29,7 @@
  * const answer = await connection.send({method: 'GET', path: '/', headers: [], body});
  */
 export class Connection {
-	/** Creates a connection that opens with its first call. */
+	/** Creates a connection that opens with its first call, if not before. */
 	static create(opts: ConnectionOpts): Connection {
 		return new Connection(HttpConnection.create(opts));
 	}
@@ -51,6 +51,16 @@
 		return this.http.isUsable;
 	}
 
+	/** Opens the connection, unless it is open. */
+	async open(): Promise<Result<true, Failure>> {
+		try {
+			await this.http.open();
+			return ok(true);
+		} catch (error) {
+			return err(failureOf(error));
+		}
+	}
+
 	/** Sends a call and reads the complete answer. A truncated answer is a failure. */
 	async send(call: OutgoingRequest): Promise<Result<Answer, Failure>> {
 		try {
--- a/packages/node/src/upstream/execute.ts
+++ b/packages/node/src/upstream/execute.ts
@@ -1,4 +1,4 @@
-import {type Fault, type Log, events, faultKinds} from '@medlarsaddle/core';
+import {type Clock, type Fault, type Log, events, faultKinds} from '@medlarsaddle/core';
 import type {Admission} from '@medlarsaddle/control';
 import {
 	type CallOutcome,
@@ -7,6 +7,7 @@
 	endReasons,
 	runStates,
 } from '@medlarsaddle/wire';
+import {err} from 'neverthrow';
 import type {CrashDetector} from './crash-detector.js';
 import type {InFlightCalls} from './in-flight-calls.js';
 import type {InFlightCall} from './in-flight-call.js';
@@ -16,6 +17,7 @@
 import type {UpstreamProtocol} from './upstream-protocol.js';
 
 type Deps = {
+	readonly clock: Clock;
 	readonly log: Log;
 	readonly inFlight: InFlightCalls;
 	readonly silenceDetector: SilenceDetector;
@@ -25,6 +27,8 @@
 	readonly protocol: UpstreamProtocol;
 	/** Instance ID that the upstream announced. */
 	readonly instance: string;
+	/** Why a call may not be sent now, though it was admitted; asked once nothing delays it any more. */
+	readonly faultOf: (call: InFlightCall) => Fault | undefined;
 	/** Called when another instance answers at the address of the upstream. */
 	readonly onReplaced: () => void;
 	/** Takes the retries that a call returns when it stalls; undefined when nobody would use them. */
@@ -36,21 +40,29 @@
 	readonly result: CallOutcome['result'];
 };
 
+/** A call of which nothing was sent. */
+type Unsent = {
+	readonly fault: Fault;
+};
+
 /**
- * Runs an admitted call on the upstream and releases its permit.
+ * Runs an admitted call on the upstream and releases its permit. What allowed the call may have changed
+ * while it waited for a connection, so that is asked again before its first byte is sent.
  *
  * @example
- * const {call, result} = await execute(deps, request, signal);
+ * const executed = await execute(deps, request, signal);
  */
 export const execute = async (
 	deps: Deps,
 	request: CallRequest,
 	signal: AbortSignal,
-): Promise<Executed> => {
+): Promise<Executed | Unsent> => {
 	const {inFlight, silenceDetector, crashDetector, admission, pool, protocol, instance} = deps;
-	const {log, onStalled} = deps;
+	const {clock, log, onStalled} = deps;
+	const deadlineMs = clock.monotonic() + request.remainingMs;
 	const connection = await pool.acquire(!request.idempotent);
-	const {token, call} = inFlight.open(request, signal);
+	const timeLeft = () => deadlineMs - clock.monotonic();
+	const {token, call} = inFlight.open({...request, remainingMs: timeLeft()}, signal);
 	const isWatched = request.idempotent && onStalled !== undefined;
 	const watch = silenceDetector.watch({
 		call,
@@ -71,12 +83,25 @@
 			onStalled?.(call.allowance.takeAll());
 		},
 	});
-	const answer = await connection.send({
-		method: request.method,
-		path: request.path,
-		headers: protocol.headersFor({request, instance, context: token}),
-		body: request.body,
-	});
+	const opened = await connection.open();
+	const fault = opened.isOk() ? deps.faultOf(call) : undefined;
+	if (fault) {
+		watch.stop();
+		inFlight.close(token);
+		pool.release(connection);
+		admission.release(request.job);
+		return {fault};
+	}
+
+	const sent = {...request, remainingMs: timeLeft()};
+	const answer = opened.isErr()
+		? err(opened.error)
+		: await connection.send({
+				method: request.method,
+				path: request.path,
+				headers: protocol.headersFor({request: sent, instance, context: token}),
+				body: request.body,
+			});
 	watch.stop();
 	inFlight.close(token);
 	if (answer.isOk()) {
@@ -105,7 +130,7 @@
 
 	pool.release(connection);
 	admission.release(request.job);
-	const {fault, mayHaveRun, wasClosed, receivedBytes, ending} = answer.error;
+	const {fault: failure, mayHaveRun, wasClosed, receivedBytes, ending} = answer.error;
 	const reason = watch.endReason();
 	log(events.callFailed, {
 		request: request.rootId,
@@ -113,7 +138,7 @@
 		reason,
 		ending,
 		receivedBytes,
-		error: fault.what,
+		error: failure.what,
 		...timesOf(call),
 	});
 	const isLate = reason === endReasons.deadline;
@@ -125,9 +150,9 @@
 		call,
 		result: {
 			kind: 'refusal',
-			fault: isLate ? faultKinds.deadlineExceeded : fault.kind,
-			what: fault.what,
-			remedy: fault.remedy,
+			fault: isLate ? faultKinds.deadlineExceeded : failure.kind,
+			what: failure.what,
+			remedy: failure.remedy,
 			run: mayHaveRun ? runStates.unknown : runStates.notRun,
 			final: call.hasSideEffect || undefined,
 		},
--- a/packages/node/src/upstream/proxy-faults.ts
+++ b/packages/node/src/upstream/proxy-faults.ts
@@ -12,6 +12,11 @@
 		'This host is leaving and takes no new work',
 		'Send the call again; it will go to another host',
 	),
+	expired: Fault.of(
+		faultKinds.deadlineExceeded,
+		'The deadline of the call passed before it could be sent to the upstream',
+		'Send the call again with a later deadline',
+	),
 	quarantined: Fault.of(
 		faultKinds.quarantined,
 		'Requests with this content are held back because they crashed upstreams',
--- a/packages/node/src/upstream/upstream-proxy.ts
+++ b/packages/node/src/upstream/upstream-proxy.ts
@@ -3,8 +3,10 @@
 import type {CallOutcome, CallRequest} from '@medlarsaddle/wire';
 import type {z} from 'zod';
 import type {announcement} from './announcement.js';
+import type {ConnectionPool} from './connection-pool.js';
 import {CrashDetector} from './crash-detector.js';
 import {execute} from './execute.js';
+import type {InFlightCall} from './in-flight-call.js';
 import type {InFlightCalls} from './in-flight-calls.js';
 import type {LoadTracker} from './load-tracker.js';
 import {AnnouncedUpstream} from './announced-upstream.js';
@@ -234,11 +236,11 @@
 		}
 
 		const waitedMs = this.opts.clock.monotonic() - startMs;
-		const remainingMs = deadlineMs - startMs - waitedMs;
+		const remainingMs = request.remainingMs - waitedMs;
 		try {
 			this.startedCalls++;
 			loadTracker.noteStarted(job);
-			const {inFlight, log, protocol} = this.opts;
+			const {clock, inFlight, log, protocol} = this.opts;
 			const {silenceDetector, crashDetector} = this;
 			const {instance} = current.announcement;
 			const onReplaced = () => {
@@ -249,18 +251,22 @@
 			};
 
 			const deps = {
+				clock,
 				log,
 				inFlight,
 				silenceDetector,
 				crashDetector,
 				protocol,
 				instance,
+				faultOf: (call: InFlightCall) => this.lateFaultOf(call, current.pool),
 				onReplaced,
 				onStalled,
 				...current,
 			};
-			const {call, result} = await execute(deps, {...request, remainingMs}, signal);
-			return this.outcomes.ended({admission, call, result, waitedMs});
+			const executed = await execute(deps, {...request, remainingMs}, signal);
+			return 'fault' in executed
+				? this.refuse(request, executed.fault)
+				: this.outcomes.ended({admission, waitedMs, ...executed});
 		} finally {
 			loadTracker.noteEnded(job);
 			if (isSuspect) {
@@ -274,6 +280,19 @@
 		return admission.cutoffs.isOpen && this.opts.loadTracker.ownShare === 1;
 	}
 
+	/** Why an admitted call may no longer be sent on a connection of this pool. */
+	private lateFaultOf(call: InFlightCall, pool: ConnectionPool): Fault | undefined {
+		if (pool.isRetired) {
+			return proxyFaults.serviceNotServed;
+		}
+
+		if (this.isDraining) {
+			return proxyFaults.draining;
+		}
+
+		return call.deadlineMs <= this.opts.clock.monotonic() ? proxyFaults.expired : undefined;
+	}
+
 	private refuse(request: CallRequest, fault: Fault): CallOutcome {
 		const admission = this.current?.admission;
 		this.opts.log(events.callRefused, {
--- a/packages/node/test/peer.test.ts
+++ b/packages/node/test/peer.test.ts
@@ -5,7 +5,14 @@
 import {setImmediate} from 'node:timers/promises';
 import {type Clock, ManualClock, faultKinds} from '@medlarsaddle/core';
 import {memberStates} from '@medlarsaddle/members';
-import {Link, type Message, type MessageOf, callModes, messageTypes} from '@medlarsaddle/wire';
+import {
+	Link,
+	type Message,
+	type MessageOf,
+	callModes,
+	messageTypes,
+	runStates,
+} from '@medlarsaddle/wire';
 import {Peer} from '../src/peers/peer.js';
 
 const request = {
@@ -180,3 +187,38 @@
 	socket.destroy();
 	server.close();
 });
+
+// The link is asked whether it works before an action is sent on it.
+for (const [what, remainingMs, isGivenUp] of [
+	['whose deadline passes', 200, false],
+	['that is given up', 3000, true],
+] as const) {
+	test(`an action ${what} while its link is probed is sent`, async t => {
+		const clock = ManualClock.at(0);
+		const {abort, ended, peer, server, socket} = await openPeer(clock);
+		t.after(async () => {
+			abort.abort();
+			await ended;
+			socket.destroy();
+			server.close();
+		});
+		const link = Link.over(socket, clock);
+		const messages = link.messages();
+		assert.equal(await typeOfNext(messages), messageTypes.hello);
+		await clock.advance(10_000);
+		const caller = new AbortController();
+		const action = {...request, idempotent: false, remainingMs};
+		const outcome = peer.call(callModes.run, action, caller.signal);
+		const {value: probe} = (await messages.next()) as {value: MessageOf<'probe'>};
+		await clock.advance(300);
+		if (isGivenUp) {
+			caller.abort(new Error('the caller left'));
+		}
+
+		link.send({type: messageTypes.probed, id: probe.id});
+		const sent = typeOfNext(messages).then(() => undefined);
+		const result = (await Promise.race([outcome, sent]))?.result;
+		assert.ok(result?.kind === 'refusal', 'it was sent');
+		assert.equal(result.run, runStates.notRun);
+	});
+}
--- a/packages/streams/src/http-connection.ts
+++ b/packages/streams/src/http-connection.ts
@@ -1,4 +1,4 @@
-import {type Socket, connect} from 'node:net';
+import {type Socket, connect as openSocket} from 'node:net';
 import type {ByteShare} from '@medlarsaddle/control';
 import {ByteReader} from './byte-reader.js';
 import {ConnectionError} from './connection-error.js';
@@ -50,6 +50,23 @@
 		return !this.isClosed && this.opts.clock.monotonic() < this.usableUntilMs;
 	}
 
+	/**
+	 * Opens the connection, unless it is open. A caller that has to decide at the last moment whether to
+	 * send its request waits here before it decides.
+	 *
+	 * @throws ConnectionError when it cannot be opened.
+	 */
+	async open(): Promise<void> {
+		try {
+			await this.connect();
+		} catch (error) {
+			const {isAborted} = this;
+			const ending = this.reader?.ending;
+			this.destroy();
+			throw new ConnectionError(error, {isSent: false, isAborted, receivedBytes: 0, ending});
+		}
+	}
+
 	/**
 	 * Sends a request and reads the complete response.
 	 *
@@ -62,7 +79,7 @@
 		this.receivedBefore = this.reader?.receivedBytes ?? 0;
 		let isSent = false;
 		try {
-			const {socket, reader} = await this.open();
+			const {socket, reader} = await this.connect();
 			isSent = true;
 			const hasBody = body.length > 0 || !bodilessMethods.has(method);
 			const lengthHeader = hasBody ? ['content-length', String(body.length)] : [];
@@ -110,7 +127,7 @@
 		this.socket?.destroy();
 	}
 
-	private async open(): Promise<{socket: Socket; reader: ByteReader}> {
+	private async connect(): Promise<{socket: Socket; reader: ByteReader}> {
 		if (this.isClosed) {
 			throw new Error('the connection is closed');
 		}
@@ -120,7 +137,7 @@
 		}
 
 		const {hostname, port} = new URL(this.opts.origin);
-		const socket = connect({host: hostname, port: Number(port), noDelay: true});
+		const socket = openSocket({host: hostname, port: Number(port), noDelay: true});
 		const reader = ByteReader.over(socket);
 		this.socket = socket;
 		this.reader = reader;
